Judge a server by sends made after its last failure, and by its own latency

Cause: at the soft deadlines of the journey planner a busy server is silent towards one node for the patience by chance, and everything out at once counted as failures in a row; live servers left the path by the dozen.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -39,7 +39,7 @@
         self.live: dict[Tx, None] = {}  # transmissions out, oldest first
         self.limit, self.latency = START_LIMIT, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
-        self.answered_at, self.heard = -FAR, False
+        self.answered_at, self.struck_at, self.heard = -FAR, -FAR, False
         self.started, self.cold_until, self.window = -FAR, -FAR, deque[float]()
         self.sent, self.rate, self.util = 0, 0.0, -1.0
         self.first: list[tuple[bool, float, int, Rpc]] = []  # lines: (over share, -gain, arrival, RPC)
@@ -275,7 +275,7 @@
                 # Danger: a server refusing connections died, and comes back cold, maybe unannounced.
                 s.cold_until = now + self.cold_ms
             self._strike(s)
-        elif outcome == Outcome.TIMEOUT and s.answered_at < tx.sent and not tx.counted:
+        elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent and not tx.counted:
             self._strike(s)
         if s.first or s.again:
             self.freed.append(s)
@@ -358,8 +358,10 @@
                     self.todo.append(rpc)
             elif not tx.done and not tx.counted and tx.server.answered_at < tx.sent:
                 # Danger: a server that takes work and answers none looks idle. Silence since the send counts.
+                # Danger: all that is out at a busy server is late at once; sends before a strike tell no more.
                 tx.counted = True
-                self._strike(tx.server)
+                if tx.sent >= tx.server.struck_at:
+                    self._strike(tx.server)
                 self._abandon(tx)
         if now >= self.next_beat:
             self._beat()
@@ -441,7 +443,8 @@
         s.sent += 1
         if now < s.cold_until:
             s.window.append(now)
-        heapq.heappush(self.wakes, (now + PATIENCE * rpc.method.soft_ms, self._count(), rpc, tx))
+        patience = max(PATIENCE * rpc.method.soft_ms, 2 * s.latency)
+        heapq.heappush(self.wakes, (now + patience, self._count(), rpc, tx))
         host.send(rpc.id, s.id, rpc.until - now)
 
     def _may_send(self, rpc: Rpc, s: Server) -> bool:
@@ -545,7 +548,7 @@
             s.limit += 1 / s.limit
 
     def _strike(self, s: Server) -> None:
-        s.failures += 1
+        s.failures, s.struck_at = s.failures + 1, self.now
         if s is self.origin:
             s.limit = max(1.0, s.limit * 0.8)  # there is no other: it is asked less, never left
             return
--- a/hookpitch/balancer/interface.py
+++ b/hookpitch/balancer/interface.py
@@ -108,14 +108,11 @@
     second_copies: bool
     cancelling: bool
     max_retry_after_ms: float  # 0 where clients are not told
-    drain_grace_ms: float
     ask_within_ms: float
     cold_share: float
     cold_ms: float
     overload_factor: float
     tip_after_ms: float
-    dial_timeout_ms: float
-    overage_gain: float
 
 
 class Host(Protocol):
--- a/hookpitch/simwire/codec.py
+++ b/hookpitch/simwire/codec.py
@@ -140,12 +140,9 @@
         second_copies=bool(limits.get("second_copies", False)),
         cancelling=bool(limits.get("cancelling", False)),
         max_retry_after_ms=span(limits, "max_retry_after_s") if limits.get("retry_after") else 0.0,
-        drain_grace_ms=span(rules, "stop_sending_within_s"),
         ask_within_ms=span(rules, "ask_within_s"),
         cold_share=float(rules.get("cold_from") or 0.0),
         cold_ms=span(rules, "cold_s"),
         overload_factor=float(rules.get("overload_factor") or 1.0),
         tip_after_ms=span(rules, "tip_after_s"),
-        dial_timeout_ms=span(limits, "dial_timeout_s"),
-        overage_gain=float(top.get("overage_gain") or 0.0),
     ), kinds
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,137 @@
+"""Plain cases: the paper's example, the ordinary path, and each failure met so far."""
+
+from zlib import crc32
+
+from fleet import ORIGIN, Fleet, deployment, entry
+
+from hookpitch.balancer.decisions import Bucket, Server, migrate, nearest, target_point, weights
+from hookpitch.balancer.interface import Customer, ListKind, Method, Outcome, State
+
+
+def fleet(servers: int = 4, **changes: object) -> Fleet:
+    f = Fleet(deployment(**changes))
+    f.listed([entry(f"s{i}") for i in range(servers)] + [entry("o1", kind=ORIGIN)], ListKind.CACHED)
+    return f
+
+
+def caches(*loads: tuple[float, float]) -> list[Server]:
+    made = []
+    for i, (c, m) in enumerate(loads):
+        made.append(Server(f"n{i}"))
+        made[-1].c, made[-1].m = c, m
+    return made
+
+
+def test_the_papers_second_figure() -> None:
+    a, middle, b = nodes = caches((90, 70), (60, 30), (30, 20))
+    lam, mu = weights(nodes)
+    assert abs(lam - 0.6) < 1e-9 and abs(mu - 0.36 / 0.52) < 1e-9
+    h = target_point(a, b, lam)
+    assert abs(h[0] - 18) < 1e-9 and abs(h[1] - 10) < 1e-9
+    loads = [(30.0, 20.0, Bucket(0)), (20.0, 40.0, Bucket(1)), (40.0, 10.0, Bucket(2))]
+    assert nearest(loads, h, lam) is loads[0]
+    held = {a: list(loads), middle: [], b: []}
+    assert [(bucket, to) for bucket, to in migrate(nodes, held)][0] == (loads[0][2], b)
+
+
+def test_a_balanced_fleet_moves_nothing() -> None:
+    nodes = caches((10, 10), (11, 10), (10, 11))
+    assert migrate(nodes, {s: [(1.0, 1.0, Bucket(0))] for s in nodes}) == []
+
+
+def test_a_key_keeps_its_cache_and_a_round_moves_load_off_the_heaviest() -> None:
+    f = fleet()
+    for i in range(1200):  # one cache's keys are asked for far more often than the others'
+        key = f"key{i % 40}"
+        heavy = f.node.buckets[crc32(key.encode()) % len(f.node.buckets)].home.id == "s0"
+        for _ in range(6 if heavy else 1):
+            f.end(f.arrive(key), Outcome.COMPLETED)
+        f.pass_time(10.0)
+    moved = [b for b in f.node.buckets if b.at is not b.home]
+    assert sum(b.home.id == "s0" for b in moved) > len(moved) / 2
+    f.listed([entry(moved[0].at.id, State.DRAINING)], ListKind.DELTA)
+    assert moved[0].at.state == State.READY  # buckets on a draining cache go home
+
+
+def test_a_wait_in_line_ends_before_the_hard_deadline() -> None:
+    f = fleet(1)
+    ids = [f.arrive(f"k{i}", grace=30.0) for i in range(50)]
+    f.pass_time(31.0)
+    assert not f.open and set(ids) == set(f.answers)
+
+
+def test_misses_of_one_key_share_a_fetch() -> None:
+    f = fleet()
+    first, second = f.arrive("hot"), f.arrive("hot")
+    f.end(first, Outcome.MISS)
+    f.end(second, Outcome.MISS)
+    assert [to for _, to, _ in f.sends].count("o1") == 1
+    f.end(first, Outcome.COMPLETED)
+    assert f.txs[second][-1]["server"] != "o1" and not f.txs[second][-1]["done"]
+
+
+def test_failures_in_a_row_take_a_server_off_and_an_answer_brings_it_back() -> None:
+    f = fleet(2)
+    victim = f.txs[f.arrive("k")][0]["server"]
+    f.end("rpc1", Outcome.RESET)
+    f.end("rpc1", Outcome.COMPLETED)
+    while not f.node.servers[victim].off:
+        rpc = f.arrive("k")
+        f.end(rpc, Outcome.RESET) if f.txs[rpc][0]["server"] == victim else f.end(rpc, Outcome.COMPLETED)
+        if f.out:
+            f.end(rpc, Outcome.COMPLETED)
+    assert f.txs[f.arrive("k")][0]["server"] != victim
+    for _ in range(100):
+        f.pass_time(1000.0)
+        rpc = f.arrive("k")
+        f.end(rpc, Outcome.COMPLETED)
+        if f.txs[rpc][0]["server"] == victim:
+            return
+    raise AssertionError("shut out for good")
+
+
+def test_late_answers_from_a_busy_server_count_once() -> None:
+    f = fleet(1)
+    for i in range(4):
+        f.arrive(f"k{i}")
+    f.pass_time(250.0)  # all four are silent for the patience
+    assert f.node.servers["s0"].failures == 1 and not f.node.servers["s0"].off
+
+
+def test_a_cold_server_gets_little_at_first() -> None:
+    f = fleet(3)
+    for i in range(600):
+        f.end(f.arrive(f"k{i}"), Outcome.COMPLETED)
+        f.pass_time(10.0)
+    f.listed([entry("s4", started=f.now)], ListKind.DELTA)
+    begun = len(f.sends)
+    for i in range(150):
+        f.end(f.arrive(f"k{i}"), Outcome.COMPLETED)
+        f.pass_time(10.0)
+    got = [to for _, to, _ in f.sends[begun:]]
+    assert 0 < got.count("s4") <= 0.35 * len(got) / 4
+
+
+def test_a_lost_watch_is_asked_for_again() -> None:
+    f = fleet()
+    assert f.asked == 1
+    f.listed([], ListKind.FAILED)
+    f.pass_time(9000.0)
+    assert f.asked >= 2
+
+
+def test_over_its_share_a_customer_is_exhausted_first() -> None:
+    f = fleet(1, customers=(Customer("small", 1.0), Customer("big", 1000.0)), max_retry_after_ms=400.0)
+    mine = [f.arrive(f"a{i}", customer="small") for i in range(8)]
+    theirs = [f.arrive(f"b{i}", customer="big") for i in range(2)]
+    assert any(f.answers.get(r) == "exhausted" for r in mine)
+    assert not any(r in f.answers for r in theirs)
+
+
+def test_odd_ends_of_the_settings_still_answer() -> None:
+    bare = Method("read", 400.0, 1000.0, 1.0)
+    for changes in ({"methods": (bare,), "cold_ms": 0.0, "tip_after_ms": 0.0}, {"max_transmissions": 0}):
+        f = Fleet(deployment(ask_within_ms=0.0, **changes))
+        assert f.answers[f.arrive("k")] == "exhausted"  # no list yet
+        f.listed([])
+        assert f.answers[f.arrive("")] == "exhausted"
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,34 @@
+"""Seeded random runs: several troubles at once under drawn settings, the four rules checked after every step."""
+
+import random
+
+import pytest
+from fleet import ORIGIN, Fleet, drawn, entry
+
+from hookpitch.balancer.interface import ListKind
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_rules_hold_under_any_order_of_input(seed: int) -> None:
+    rng = random.Random(seed)
+    fleet = Fleet(drawn(rng), seed)
+    servers = [entry(f"s{i}", size=rng.choice([0.5, 1.0, 2.0])) for i in range(rng.randint(1, 9))]
+    origin = [entry("o1", kind=ORIGIN)] if rng.random() < 0.9 else []
+    fleet.listed(servers + origin, rng.choice([ListKind.CACHED, ListKind.FULL]))
+    for _ in range(700):
+        fleet.step()
+    fleet.pass_time(30000.0)  # whatever was open has ended by now
+    assert not fleet.open
+    assert not fleet.node.rpcs and not fleet.node.fetches, "records outlive their RPCs"
+    assert not any(s.first or s.again or s.live for s in fleet.node.servers.values())
+
+
+def test_same_input_gives_the_same_decisions() -> None:
+    runs = []
+    for _ in range(2):
+        fleet = Fleet(drawn(random.Random(5)), 5)
+        fleet.listed([entry(f"s{i}") for i in range(6)] + [entry("o1", kind=ORIGIN)])
+        for _ in range(500):
+            fleet.step()
+        runs.append((fleet.sends, fleet.answers, fleet.logs))
+    assert runs[0] == runs[1]
