Shrink a server's limit by a tenth on a late answer, grow it by a quarter step

Cause: with +1/L and -4% a limit settles where half of the answers pass the target, so overloaded fleets answered late and crowded servers slowed down. Expected: one answer in eight over the target.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -37,7 +37,7 @@
     def __init__(self, id: str) -> None:
         self.id, self.state, self.zone, self.cell, self.size, self.kind = id, State.GONE, "", 0, 1.0, 0
         self.live: dict[Tx, None] = {}  # transmissions out, oldest first
-        self.limit, self.latency = START_LIMIT, 0.0
+        self.limit, self.growth, self.latency = START_LIMIT, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
         self.answered_at, self.struck_at, self.heard = -FAR, -FAR, False
         self.started, self.cold_until, self.window = -FAR, -FAR, deque[float]()
@@ -543,9 +543,9 @@
         if full_work:
             s.latency += (took - s.latency) * (0.1 if s.latency else 1.0)
         if took > TARGET * tx.rpc.method.soft_ms:
-            s.limit = max(1.0, s.limit * 0.96)
+            s.limit, s.growth = max(1.0, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
-            s.limit += 1 / s.limit
+            s.limit += s.growth / s.limit
 
     def _strike(self, s: Server) -> None:
         s.failures, s.struck_at = s.failures + 1, self.now
