Rounds weigh caches by the load they report

Cause: a slow cache with a low limit is sent little, so the sending rate called it the lightest and rounds moved buckets to it. Now the reported load (utilisation, else RPCs held, else queue), averaged, plus the own line.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -41,7 +41,7 @@
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
         self.answered_at, self.struck_at, self.heard = -FAR, -FAR, False
         self.started, self.cold_until, self.window = -FAR, -FAR, deque[float]()
-        self.sent, self.rate, self.util = 0, 0.0, -1.0
+        self.sent, self.rate, self.load = 0, 0.0, -1.0  # load: as reported, averaged; -1 where it is not
         self.first: list[tuple[bool, float, int, Rpc]] = []  # lines: (over share, -gain, arrival, RPC)
         self.again: list[tuple[bool, float, int, Rpc]] = []
         self.c = self.m = 0.0
@@ -264,7 +264,8 @@
             tx.ran = False
         if report:
             s.heard = True
-            s.util = report.get("utilisation", -1.0)
+            held = report.get("utilisation", report.get("inflight", report.get("queue", -1.0)))
+            s.load += (held - s.load) / 8 if s.load >= 0 else held + 1
         if outcome <= Outcome.MISS:
             self._answered(s, tx, took, outcome == Outcome.COMPLETED)
         elif outcome == Outcome.FULL:
@@ -651,7 +652,8 @@
         if len(caches) < 2:
             return
         for s in caches:
-            s.c = s.util if s.util >= 0 else s.rate / s.size
+            # Danger: an overloaded cache is sent little because its limit is low; the rate alone calls it light.
+            s.c = (s.load + len(s.first) if s.load >= 0 else s.rate) / s.size
             s.m = float(sum(b.keys for b in held[s]))
         mean_c, mean_m = sum(s.c for s in caches) / len(caches), sum(s.m for s in caches) / len(caches)
         loads: dict[Server, list[Load]] = {}
