Rounds twice as often, cap by fleet size, wider dead band; a queue counts the RPC in work

Cause: with listed sizes all alike, the slower machines are overloaded from the start, and four moves in five seconds do not relieve a large fleet.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -18,9 +18,9 @@
 
 BUCKETS = 1024  # the unit moved; some dozens for each cache at the sizes the paper speaks of
 RING_POINTS = 100  # of a cache of mean size
-ROUND_MS = 5000.0  # the design page's starting value
-DEAD_BAND = 1.25  # a round acts only when the heaviest is this many times the mean
-MOVE_CAP = 4  # buckets a round
+ROUND_MS = 2500.0  # half the design page's starting value
+DEAD_BAND = 1.5  # a round acts only when the heaviest is this many times the mean
+MOVE_CAP = 1 / 3  # buckets a round for each cache
 IMPROVEMENT = 0.5  # the paper's IT: a round stops once sigma has fallen by this share
 KEYS_KEPT = 64 * BUCKETS  # distinct keys in each of the two generations of the aged table
 PATIENCE = 0.4  # of the soft deadline: no word at all from a server for this long counts against it
@@ -91,11 +91,11 @@
     __slots__ = ("at", "rate", "tokens")
 
     def __init__(self, rate: float) -> None:
-        self.rate, self.tokens, self.at = rate, rate * ROUND_MS / 10, 0.0
+        self.rate, self.tokens, self.at = rate, rate * 500, 0.0
 
     def take(self, now: float) -> bool:
         """Whether one more RPC is within the share; a tenth of a round's worth may be saved up."""
-        self.tokens = min(self.rate * ROUND_MS / 10, self.tokens + (now - self.at) * self.rate)
+        self.tokens = min(self.rate * 500, self.tokens + (now - self.at) * self.rate)
         self.at = now
         if self.tokens < 1:
             return False
@@ -135,7 +135,7 @@
     lam, mu = weights(caches)
     moves: list[tuple[Bucket, Server]] = []
     sigma = begun = imbalance(caches, mu)
-    while len(moves) < MOVE_CAP and begun - sigma < IMPROVEMENT * begun:
+    while len(moves) < MOVE_CAP * len(caches) and begun - sigma < IMPROVEMENT * begun:
         utility = [lam * s.c + (1 - lam) * s.m for s in caches]
         a, b = caches[utility.index(max(utility))], caches[utility.index(min(utility))]
         if a is b or not loads[a] or max(utility) < DEAD_BAND * sum(utility) / len(caches):
@@ -264,7 +264,7 @@
             tx.ran = False
         if report:
             s.heard = True
-            held = report.get("utilisation", report.get("inflight", report.get("queue", -1.0)))
+            held = report.get("utilisation", report.get("inflight", report.get("queue", -2.0) + 1))
             s.load += (held - s.load) / 8 if s.load >= 0 else held + 1
         if outcome <= Outcome.MISS:
             self._answered(s, tx, took, outcome == Outcome.COMPLETED)
