--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -19,10 +19,12 @@
 BUCKETS = 1024  # the unit moved; some dozens for each cache at the sizes the paper speaks of
 RING_POINTS = 100  # of a cache of mean size
 ROUND_MS = 2500.0  # half the design page's starting value
+SAVED_MS = ROUND_MS / 5  # what a customer may save up of its share
 DEAD_BAND = 1.5  # a round acts only when the heaviest is this many times the mean
 MOVE_CAP = 1 / 3  # buckets a round for each cache
 IMPROVEMENT = 0.5  # the paper's IT: a round stops once sigma has fallen by this share
-KEYS_KEPT = 64 * BUCKETS  # distinct keys in each of the two generations of the aged table
+KEYS_KEPT = 64 * BUCKETS  # a generation of distinct keys ends when it holds this many,
+AGE = 12  # or after this many rounds
 PATIENCE = 0.4  # of the soft deadline: no word at all from a server for this long counts against it
 TARGET = 0.5  # of the soft deadline: answers slower than this shrink the server's limit
 WAIT = 0.5  # of what is left: the longest stay in a line
@@ -31,6 +33,9 @@
 FAR = float("inf")
 
 
+Place = tuple[bool, float, int, "Rpc"]  # in a line: over share, -gain, arrival
+
+
 class Server:
     """All that is known of one cache server, or of the origin."""
 
@@ -39,11 +44,10 @@
         self.live: dict[Tx, None] = {}  # transmissions out, oldest first
         self.limit, self.growth, self.latency = START_LIMIT, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
-        self.answered_at, self.struck_at, self.heard = -FAR, -FAR, False
+        self.answered_at = self.struck_at = -FAR
         self.started, self.cold_until, self.window = -FAR, -FAR, deque[float]()
         self.sent, self.rate, self.load = 0, 0.0, -1.0  # load: as reported, averaged; -1 where it is not
-        self.first: list[tuple[bool, float, int, Rpc]] = []  # lines: (over share, -gain, arrival, RPC)
-        self.again: list[tuple[bool, float, int, Rpc]] = []
+        self.first, self.again = list[Place](), list[Place]()  # lines; further transmissions have their own
         self.c = self.m = 0.0
         self.ok = False  # ready, on the path and warm: the ordinary path asks no more than this
 
@@ -51,8 +55,6 @@
 class Bucket:
     """The unit that is moved between caches."""
 
-    __slots__ = ("at", "chain", "count", "home", "keys", "point", "rate")
-
     def __init__(self, number: int) -> None:
         self.point = crc32(b"bucket/%d" % number)
         self.home: Server | None = None
@@ -88,19 +90,15 @@
 class Share:
     """A customer's share at this node, as tokens."""
 
-    __slots__ = ("at", "rate", "tokens")
-
     def __init__(self, rate: float) -> None:
-        self.rate, self.tokens, self.at = rate, rate * 500, 0.0
-
-    def take(self, now: float) -> bool:
-        """Whether one more RPC is within the share; a tenth of a round's worth may be saved up."""
-        self.tokens = min(self.rate * 500, self.tokens + (now - self.at) * self.rate)
-        self.at = now
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
+        self.rate, self.tokens, self.at = rate, rate * SAVED_MS, 0.0
+
+    def over(self, now: float) -> bool:
+        """Whether one more RPC is over the share."""
+        self.tokens, self.at = min(self.rate * SAVED_MS, self.tokens + (now - self.at) * self.rate), now
+        over = self.tokens < 1
+        self.tokens -= not over
+        return over
 
 
 Load = tuple[float, float, Bucket]  # (v, w) of a bucket
@@ -163,10 +161,9 @@
         part = 1000.0 * max(1, d.nodes)  # of a quota a second over all nodes, to this node's a millisecond
         self.shares = {c.name: Share(c.quota_per_s / part) for c in d.customers if c.quota_per_s > 0}
         self.origin_kind, self.origin = d.origin_kind, None
-        self.max_txs, self.copies, self.cancelling = d.max_transmissions or 1, d.second_copies, d.cancelling
+        self.max_txs, self.cancelling = d.max_transmissions or 1, d.cancelling
         self.retry_after = d.max_retry_after_ms
-        self.margin = 2 * d.tick_ms + 1
-        self.tick = max(d.tick_ms, 0.1)
+        self.tick, self.margin = d.tick_ms or 1.0, 2 * d.tick_ms + 1
         self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
         self.ask_within, self.ask_backoff = d.ask_within_ms or 10000.0, 0.0
@@ -177,16 +174,13 @@
         self.points_per_size = 0.0
         self.rpcs: dict[str, Rpc] = {}
         self.fetches: dict[str, tuple[Rpc, list[Rpc]]] = {}  # key -> who fetches it, who waits for that
-        self.young: dict[str, Bucket] = {}
-        self.old: dict[str, Bucket] = {}
+        self.young, self.old = dict[str, None](), dict[str, None]()  # keys asked for, in two generations
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
-        self.armed = FAR
+        self.armed, self.aged_at = FAR, now
         self.next_beat, self.beat_at, self.warm_rate = now + self.window, now, 0.0
         self.next_round = now + ROUND_MS * (1 + self._chance())
-        self.todo: deque[Rpc] = deque()
-        self.freed: deque[Server] = deque()
-        self.retract: deque[Tx] = deque()
-        self.news: deque[str] = deque()
+        self.todo, self.freed = deque[Rpc](), deque[Server]()
+        self.retract, self.news = deque[Tx](), deque[str]()
 
     # ---- inputs: they update what is known, nothing else
 
@@ -198,21 +192,19 @@
             # once, discovery is swamped.
             self.ask_backoff = min(self.ask_within / 4, max(self.ask_within / 20, 2 * self.ask_backoff))
             self.ask_at = now + self.ask_backoff * (0.5 + self._chance())
-            self._tell("discovery lost, asking again")
-            return
+            return self._tell("discovery lost, asking again")
         if kind != ListKind.CACHED and self.ask_at < FAR:
             self.ask_backoff, self.ask_at = 0.0, FAR
-        listed: dict[str, None] = {}
-        changed = False
+        listed, changed = dict[str, None](), False
         for e in entries:
             listed[e.id] = None
             s = self.servers.get(e.id)
-            if s is None:
-                s = self.servers[e.id] = Server(e.id)
+            s = s or self.servers.setdefault(e.id, Server(e.id))
             started = e.started_ms if e.started_ms > 0 else -FAR
             if e.state == State.READY and started > s.started:
-                s.started, s.failures, s.off, s.limit, s.heard = started, 0, False, START_LIMIT, False
-                s.cold_until = started + self.cold_ms
+                self._leave(s, True)
+                s.started, s.failures, s.off, s.limit = started, 0, False, START_LIMIT
+                s.answered_at, s.cold_until = -FAR, started + self.cold_ms
             changed |= s.state != e.state or s.size != e.size
             s.zone, s.cell, s.size, s.kind = e.zone, e.cell, max(e.size, 1e-3), e.kind
             self._state(s, e.state)
@@ -228,23 +220,23 @@
                     grace: float) -> None:  # fmt: skip
         """An RPC was taken from a client, who waits `grace` milliseconds."""
         self.now = now
-        m = self.methods.get(method)
-        if m is None or id in self.rpcs:
+        if id in self.rpcs:
             return
+        m = self.methods.get(method) or Method(method, grace, grace, 0.0, 0.0, Idempotency.NON_RETRIABLE)
         self.draws += 1
         if key:
             bucket = self.buckets[crc32(key.encode()) % BUCKETS]
-            bucket.count += 1
             if key not in self.young:
-                self._seen(key, bucket)
+                self.young[key] = None
+                bucket.keys += key not in self.old
         else:  # a keyless RPC still needs a bucket: any will do
             bucket = self.buckets[crc32(b"%d/%d" % (self.seed, self.draws)) % BUCKETS]
-            bucket.count += 1
+        bucket.count += 1
         rpc = Rpc(self.draws, id, key, bucket, m, write)
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
         rpc.until = now + useful - self.margin
         share = self.shares.get(customer)
-        rpc.over = share is not None and not share.take(now)
+        rpc.over = share is not None and share.over(now)
         self.rpcs[id] = rpc
         self.todo.append(rpc)
 
@@ -260,18 +252,16 @@
         tx.done = True
         rpc.live -= 1
         s.live.pop(tx, None)
-        if outcome in NEVER_RAN:
-            tx.ran = False
+        tx.ran = outcome not in NEVER_RAN
         if report:
-            s.heard = True
             held = report.get("utilisation", report.get("inflight", report.get("queue", -2.0) + 1))
             s.load += (held - s.load) / 8 if s.load >= 0 else held + 1
         if outcome <= Outcome.MISS:
-            self._answered(s, tx, took, outcome == Outcome.COMPLETED)
+            self._answered(tx, took, outcome == Outcome.COMPLETED)
         elif outcome == Outcome.FULL:
             s.answered_at = now
             s.limit = max(1.0, min(s.limit, 0.8 * (len(s.live) + 1)))
-        elif outcome >= Outcome.ERROR or outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
+        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
             if outcome != Outcome.ERROR and s.started < tx.sent:
                 # Danger: a server refusing connections died, and comes back cold, maybe unannounced.
                 s.cold_until = now + self.cold_ms
@@ -280,11 +270,10 @@
             self._strike(s)
         if s.first or s.again:
             self.freed.append(s)
+        rpc.missed |= outcome == Outcome.MISS
         if last or rpc.closed:
             self._close(rpc)
         else:
-            if outcome == Outcome.MISS:
-                rpc.missed = True
             self.todo.append(rpc)
 
     def stream_begun(self, now: float, id: str, n: int) -> None:
@@ -292,9 +281,8 @@
         self.now = now
         rpc = self.rpcs.get(id)
         if rpc is not None and 0 <= n < len(rpc.txs) and not rpc.txs[n].done:
-            tx = rpc.txs[n]
-            tx.counted = True
-            self._answered(tx.server, tx, now - tx.sent, False)
+            rpc.txs[n].counted = True
+            self._answered(rpc.txs[n], now - rpc.txs[n].sent, False)
 
     def client_left(self, now: float, id: str) -> None:
         """The client is gone: nothing more is owed."""
@@ -327,7 +315,7 @@
                 return True
         while self.freed:
             s = self.freed[0]
-            rpc = self._next_in_line(s) if len(s.live) < int(s.limit) else None
+            rpc = self._next_in_line(s) if self._room(s) else None
             if rpc is not None:
                 self._send(rpc, s, host)
                 return True
@@ -358,8 +346,8 @@
                     rpc.line, rpc.lost = 0.0, True
                     self.todo.append(rpc)
             elif not tx.done and not tx.counted and tx.server.answered_at < tx.sent:
-                # Danger: a server that takes work and answers none looks idle. Silence since the send counts.
-                # Danger: all that is out at a busy server is late at once; sends before a strike tell no more.
+                # Danger: a server that takes work and answers none looks idle. Silence since the send counts;
+                # but all that is out at a busy server is late at once: sends before a strike tell no more.
                 tx.counted = True
                 if tx.sent >= tx.server.struck_at:
                     self._strike(tx.server)
@@ -451,10 +439,8 @@
     def _may_send(self, rpc: Rpc, s: Server) -> bool:
         """Rule 2, for a further transmission."""
         kind = rpc.method.idempotency
-        if kind == Idempotency.RETRIABLE or not rpc.txs:
-            return True
         ran = next((tx for tx in rpc.txs if tx.ran), None)
-        if ran is None:
+        if kind == Idempotency.RETRIABLE or ran is None:
             return True
         # Danger: an effect carried out twice. Only servers that drop repeats, and only while they remember.
         group, a = rpc.method.group, ran.server
@@ -491,19 +477,18 @@
     def _along(self, rpc: Rpc) -> Server | None:
         """The first fit server from the bucket's place on; else a busy one whose line to stand in."""
         now, bucket, busy = self.now, rpc.bucket, None
-        o = self.origin
-        crowded = o is not None and (o.again or 2 * len(o.live) >= o.limit)
+        crowded = self.origin and (self.origin.again or 2 * len(self.origin.live) >= self.origin.limit)
         for s in self._chain(bucket):
             if s.state != State.READY or any(tx.server is s for tx in rpc.txs) or not self._may_send(rpc, s):
                 continue
+            if now < s.cold_until and not self._cold_room(s):
+                continue
             if s.off:
                 # Danger: a server shut out for good. After its pause it is tried with one RPC at a time.
                 if now < s.off_until or s.live or rpc.over:
                     continue
                 s.off_until = now + s.backoff
                 return s
-            if now < s.cold_until and not self._cold_room(s):
-                continue
             if len(s.live) < int(s.limit):
                 return s
             if busy is None:
@@ -512,6 +497,9 @@
                     return s
         return busy
 
+    def _room(self, s: Server) -> bool:
+        return len(s.live) < int(s.limit) and (self.now >= s.cold_until or self._cold_room(s))
+
     def _cold_room(self, s: Server) -> bool:
         """Rule 4. Danger: a cold server is pushed over for good. In any window it gets, from this node alone,
         at most what a warm server of its size gets, cut by the slowest warm-up."""
@@ -524,19 +512,16 @@
 
     def _chain(self, bucket: Bucket) -> list[Server]:
         if bucket.chain is None:
-            chain = [] if bucket.at is None else [bucket.at]
             start = bisect_left(self.ring, bucket.point, key=lambda p: p[0])
-            for i in range(start, start + min(len(self.ring), 2 * RING_POINTS)):
-                s = self.ring[i % len(self.ring)][1]
-                if s not in chain:
-                    chain.append(s)
-            bucket.chain = chain
+            turn = self.ring[start:] + self.ring[:start]
+            bucket.chain = list(dict.fromkeys([s for s in (bucket.at,) if s] + [s for _, s in turn]))
         return bucket.chain
 
     # ---- health
 
-    def _answered(self, s: Server, tx: Tx, took: float, full_work: bool) -> None:
-        s.answered_at, s.heard, s.failures = self.now, True, 0
+    def _answered(self, tx: Tx, took: float, full_work: bool) -> None:
+        s = tx.server
+        s.answered_at, s.failures = self.now, 0
         if s.off:
             s.off, s.backoff, s.limit = False, 0.0, min(s.limit, START_LIMIT / 2)
             self._tell(f"{s.id} back on the path")
@@ -564,9 +549,8 @@
     def _abandon(self, tx: Tx) -> None:
         """Call a transmission off where another server may still answer in time."""
         rpc = tx.rpc
-        if rpc.closed or tx.server is self.origin or len(rpc.txs) >= self.max_txs or tx.done:
-            return
-        if rpc.method.idempotency != Idempotency.NON_RETRIABLE and rpc.until - self.now > 2 * self.margin:
+        elsewhere = not rpc.closed and tx.server is not self.origin and len(rpc.txs) < self.max_txs
+        if elsewhere and rpc.method.idempotency != Idempotency.NON_RETRIABLE:
             self.retract.append(tx)
 
     def _leave(self, s: Server, dead: bool) -> None:
@@ -590,18 +574,17 @@
 
     def _rebuild(self) -> None:
         """The ring over ready caches; points go by listed size and by nothing that other servers change."""
-        caches = [s for s in self.servers.values() if s.state == State.READY and s.kind != self.origin_kind]
-        origins = [s for s in self.servers.values() if s.state == State.READY and s.kind == self.origin_kind]
-        if origins and self.origin not in origins:
-            self.origin = origins[0]
+        ready = [s for s in self.servers.values() if s.state == State.READY]
+        caches = [s for s in ready if s.kind != self.origin_kind]
+        if self.origin not in ready:
+            self.origin = next((s for s in ready if s.kind == self.origin_kind), self.origin)
         if caches and not self.points_per_size:
             self.points_per_size = RING_POINTS * len(caches) / sum(s.size for s in caches)
-        ring: list[tuple[int, str, Server]] = []
+        self.ring = []
         for s in caches:
             points = min(8 * RING_POINTS, max(8, round(self.points_per_size * s.size)))
-            ring += [(crc32(f"{s.id}/{i}".encode()), s.id, s) for i in range(points)]
-        ring.sort(key=lambda p: p[:2])
-        self.ring = [(p, s) for p, _, s in ring]
+            self.ring += [(crc32(f"{s.id}/{i}".encode()), s) for i in range(points)]
+        self.ring.sort(key=lambda p: (p[0], p[1].id))
         points = [p for p, _ in self.ring]
         for b in self.buckets:
             moved = b.at is not b.home
@@ -612,19 +595,11 @@
 
     # ---- rounds
 
-    def _seen(self, key: str, bucket: Bucket) -> None:
-        """s: distinct keys of a bucket, in two generations so that it is bounded and aged."""
-        if key not in self.old:
-            bucket.keys += 1
-        self.young[key] = bucket
-        if len(self.young) >= KEYS_KEPT:
-            self._age_keys()
-
     def _age_keys(self) -> None:
-        for key, bucket in self.old.items():
+        for key in self.old:
             if key not in self.young:
-                bucket.keys -= 1
-        self.old, self.young = self.young, {}
+                self.buckets[crc32(key.encode()) % BUCKETS].keys -= 1
+        self.old, self.young, self.aged_at = self.young, {}, self.now
 
     def _beat(self) -> None:
         """Rates, once a window of rule 4."""
@@ -634,16 +609,21 @@
         for s in self.servers.values():
             s.rate += (s.sent * 1000 / span - s.rate) / 2
             s.sent = 0
+            for line in (s.first, s.again):
+                if line:  # Danger: a line of RPCs that have long had their answer
+                    line[:] = sorted(place for place in line if place[3].line)
             if s.state == State.READY and not s.off:
                 s.ok = self.now >= s.cold_until
                 if s.ok and s.kind != self.origin_kind:
                     rate, size = rate + s.rate, size + s.size
-        self.warm_rate = rate / size if size else 0.0
+        self.warm_rate = rate / size if size else self.warm_rate
 
     def _round(self) -> None:
         """The mechanism's round over caches heard and warm; the others count at the mean."""
-        held: dict[Server, list[Bucket]] = {s: [] for s in self.servers.values() if s.ok and s.heard}
-        held.pop(self.origin, None)
+        heard = (s for s in self.servers.values() if s.ok and s.answered_at > -FAR and s is not self.origin)
+        held: dict[Server, list[Bucket]] = {s: [] for s in heard}
+        if len(self.young) >= KEYS_KEPT or self.now >= self.aged_at + AGE * ROUND_MS:
+            self._age_keys()
         for b in self.buckets:
             b.rate, b.count = b.rate / 2 + b.count / 2, 0
             if b.at in held:
@@ -652,7 +632,7 @@
         if len(caches) < 2:
             return
         for s in caches:
-            # Danger: an overloaded cache is sent little because its limit is low; the rate alone calls it light.
+            # Danger: an overloaded cache is sent little, its limit being low; the rate calls it light.
             s.c = (s.load + len(s.first) if s.load >= 0 else s.rate) / s.size
             s.m = float(sum(b.keys for b in held[s]))
         mean_c, mean_m = sum(s.c for s in caches) / len(caches), sum(s.m for s in caches) / len(caches)
@@ -667,7 +647,6 @@
     # ---- small things
 
     def _chance(self) -> float:
-        """In [0, 1), from the instance's seed and a counter."""
         return crc32(b"%d/%d" % (self.seed, self._count())) / 2**32
 
     def _count(self) -> int:
