--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -76,12 +76,12 @@
 class Rpc:
     """One RPC from arrival to its final answer and the end of its last transmission."""
 
-    __slots__ = ("bucket", "closed", "id", "key", "line", "live", "lost", "method", "missed", "n", "over",
+    __slots__ = ("aim", "bucket", "closed", "id", "key", "line", "live", "lost", "method", "missed", "n", "over",
                  "txs", "until", "write")  # fmt: skip
 
     def __init__(self, n: int, id: str, key: str, bucket: Bucket, method: Method, write: bool) -> None:
         self.n, self.id, self.key, self.bucket, self.method, self.write = n, id, key, bucket, method, write
-        self.until, self.over, self.missed, self.closed, self.lost = 0.0, False, False, False, False
+        self.until, self.aim, self.over, self.missed, self.closed, self.lost = 0.0, 0.0, False, False, False, False
         self.txs: list[Tx] = []
         self.live = 0
         self.line = 0.0  # when its stay in a line is over; 0 when in none
@@ -234,7 +234,7 @@
         bucket.count += 1
         rpc = Rpc(self.draws, id, key, bucket, m, write)
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
-        rpc.until = now + useful - self.margin
+        rpc.until, rpc.aim = now + useful - self.margin, now + m.soft_ms - self.margin
         share = self.shares.get(customer)
         rpc.over = share is not None and share.over(now)
         self.rpcs[id] = rpc
@@ -391,7 +391,7 @@
         if len(s.live) < int(s.limit) and not s.first and not s.again:
             self._send(rpc, s, host)
             return True
-        left = rpc.until - self.now
+        left = min(rpc.until, rpc.aim) - self.now
         line = s.again if rpc.txs else s.first
         heapq.heappush(line, (rpc.over, -rpc.method.gain, rpc.n, rpc))
         self._wait(rpc, min(WAIT * left, left - s.latency))
