Call a transmission off at the second silence in a row, not at the first

Cause: where work has a heavy tail one silent transmission in twenty is merely long; calling it off wasted the work and added a miss elsewhere.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -351,7 +351,8 @@
                 tx.counted = True
                 if tx.sent >= tx.server.struck_at:
                     self._strike(tx.server)
-                self._abandon(tx)
+                if tx.server.failures > 1:
+                    self._abandon(tx)
         if now >= self.next_beat:
             self._beat()
         if now >= self.next_round:
