Shut out what is over a share once too much within shares is turned away

Cause: under overload the customers within their share were turned away as often as those over it, since a half-empty server took anything. Now a node that turned away more of what is within shares than an RPC over a share is worth takes nothing over a share until that has halved away.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -177,6 +177,7 @@
         self.young, self.old = dict[str, None](), dict[str, None]()  # keys asked for, in two generations
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
         self.armed, self.aged_at = FAR, now
+        self.asked, self.turned, self.pressure, self.overage_gain = 1, 0, 0.0, d.overage_gain
         self.next_beat, self.beat_at, self.warm_rate = now + self.window, now, 0.0
         self.next_round = now + ROUND_MS * (1 + self._chance())
         self.todo, self.freed = deque[Rpc](), deque[Server]()
@@ -236,7 +237,11 @@
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
         rpc.until, rpc.aim = now + useful - self.margin, now + m.soft_ms - self.margin
         share = self.shares.get(customer)
+        # Danger: while RPCs within a share are turned away, those over one are in their way. They are shut out
+        # once the part turned away is more than the part of its gain that an RPC over a share keeps.
         rpc.over = share is not None and share.over(now)
+        rpc.lost = rpc.over and self.pressure > self.overage_gain
+        self.asked += not rpc.over
         self.rpcs[id] = rpc
         self.todo.append(rpc)
 
@@ -452,6 +457,7 @@
     def _give_up(self, rpc: Rpc, host: Host) -> bool:
         """The final answer, at once."""
         m = rpc.method
+        self.turned += rpc.lost and not rpc.over
         harmless = m.idempotency == Idempotency.RETRIABLE or not any(tx.ran for tx in rpc.txs)
         if harmless or (m.idempotency == Idempotency.DEDUPED and m.group == "all"):
             host.exhaust(rpc.id, min(self.retry_after, m.soft_ms) * (0.5 + self._chance() / 2))
@@ -606,6 +612,8 @@
         """Rates, once a window of rule 4."""
         span = max(self.now - self.beat_at, 1.0)
         self.beat_at, self.next_beat = self.now, self.now + self.window
+        self.pressure = max(self.turned / self.asked, self.pressure / 2)
+        self.asked, self.turned = 1, 0
         rate = size = 0.0
         for s in self.servers.values():
             s.rate += (s.sent * 1000 / span - s.rate) / 2
--- a/hookpitch/balancer/interface.py
+++ b/hookpitch/balancer/interface.py
@@ -113,6 +113,7 @@
     cold_ms: float
     overload_factor: float
     tip_after_ms: float
+    overage_gain: float  # the part of its gain that an RPC over its customer's share keeps
 
 
 class Host(Protocol):
--- a/hookpitch/simwire/codec.py
+++ b/hookpitch/simwire/codec.py
@@ -145,4 +145,5 @@
         cold_ms=span(rules, "cold_s"),
         overload_factor=float(rules.get("overload_factor") or 1.0),
         tip_after_ms=span(rules, "tip_after_s"),
+        overage_gain=float(top.get("overage_gain") or 0.0),
     ), kinds
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -39,6 +39,7 @@
         "cold_ms": 20000.0,
         "overload_factor": 3.0,
         "tip_after_ms": 1500.0,
+        "overage_gain": 0.1,
     }
     return Deployment(**(base | changes))  # type: ignore[arg-type]
 
