--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -16,14 +16,13 @@
 from hookpitch.balancer.interface import NEVER_RAN, Deployment, Entry, Host, Idempotency, ListKind
 from hookpitch.balancer.interface import Method, Outcome, Report, State
 
-BUCKETS = 1024  # the unit moved; some dozens for each cache at the sizes the paper speaks of
-RING_POINTS = 100  # of a cache of mean size
+BUCKETS = 4096  # the unit moved; a hundred for each cache of a fleet of forty
+RING_POINTS = 300  # of a cache of mean size
 ROUND_MS = 2500.0  # half the design page's starting value
-SAVED_MS = ROUND_MS / 5  # what a customer may save up of its share
 DEAD_BAND = 1.5  # a round acts only when the heaviest is this many times the mean
-MOVE_CAP = 1 / 3  # buckets a round for each cache
+MOVE_CAP = 4 / 3  # buckets a round for each cache
 IMPROVEMENT = 0.5  # the paper's IT: a round stops once sigma has fallen by this share
-KEYS_KEPT = 64 * BUCKETS  # a generation of distinct keys ends when it holds this many,
+KEYS_KEPT = 16 * BUCKETS  # a generation of distinct keys ends when it holds this many,
 AGE = 12  # or after this many rounds
 PATIENCE = 0.4  # of the soft deadline: no word at all from a server for this long counts against it
 TARGET = 0.5  # of the soft deadline: answers slower than this shrink the server's limit
@@ -31,8 +30,6 @@
 START_LIMIT = 4.0  # transmissions out at a server we know nothing of
 STRIKES = 3  # failures in a row that take a server off the path
 FAR = float("inf")
-
-
 Place = tuple[bool, float, int, "Rpc"]  # in a line: over share, -gain, arrival
 
 
@@ -66,8 +63,6 @@
 class Tx:
     """One transmission."""
 
-    __slots__ = ("counted", "done", "n", "ran", "rpc", "sent", "server")
-
     def __init__(self, rpc: Rpc, server: Server, n: int, sent: float) -> None:
         self.rpc, self.server, self.n, self.sent = rpc, server, n, sent
         self.done, self.ran, self.counted = False, True, False  # ran: may have, until proven otherwise
@@ -76,14 +71,11 @@
 class Rpc:
     """One RPC from arrival to its final answer and the end of its last transmission."""
 
-    __slots__ = ("aim", "bucket", "closed", "id", "key", "line", "live", "lost", "method", "missed", "n", "over",
-                 "txs", "until", "write")  # fmt: skip
-
     def __init__(self, n: int, id: str, key: str, bucket: Bucket, method: Method, write: bool) -> None:
         self.n, self.id, self.key, self.bucket, self.method, self.write = n, id, key, bucket, method, write
-        self.until, self.aim, self.over, self.missed, self.closed, self.lost = 0.0, 0.0, False, False, False, False
-        self.txs: list[Tx] = []
-        self.live = 0
+        self.until = self.aim = 0.0
+        self.over = self.missed = self.closed = self.lost = False
+        self.txs, self.live = list[Tx](), 0
         self.line = 0.0  # when its stay in a line is over; 0 when in none
 
 
@@ -91,11 +83,11 @@
     """A customer's share at this node, as tokens."""
 
     def __init__(self, rate: float) -> None:
-        self.rate, self.tokens, self.at = rate, rate * SAVED_MS, 0.0
+        self.rate, self.most, self.tokens, self.at = rate, rate * ROUND_MS / 5, rate * ROUND_MS / 5, 0.0
 
     def over(self, now: float) -> bool:
         """Whether one more RPC is over the share."""
-        self.tokens, self.at = min(self.rate * SAVED_MS, self.tokens + (now - self.at) * self.rate), now
+        self.tokens, self.at = min(self.most, self.tokens + (now - self.at) * self.rate), now
         over = self.tokens < 1
         self.tokens -= not over
         return over
@@ -237,8 +229,8 @@
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
         rpc.until, rpc.aim = now + useful - self.margin, now + m.soft_ms - self.margin
         share = self.shares.get(customer)
-        # Danger: while RPCs within a share are turned away, those over one are in their way. They are shut out
-        # once the part turned away is more than the part of its gain that an RPC over a share keeps.
+        # Danger: RPCs over a share in the way of those within. They are shut out while more of those within
+        # are turned away than an RPC over a share keeps of its gain.
         rpc.over = share is not None and share.over(now)
         rpc.lost = rpc.over and self.pressure > self.overage_gain
         self.asked += not rpc.over
@@ -391,15 +383,13 @@
         """Send to this server, or stand in its line, or give up."""
         if s is None or s.state != State.READY or not self._may_send(rpc, s):
             return self._give_up(rpc, host)
-        if rpc.over and 2 * len(s.live) >= s.limit:
-            # Danger: a customer over its share crowds out those within theirs.
+        if rpc.over and 2 * len(s.live) >= s.limit:  # Danger: a customer over its share crowds the others out
             return self._give_up(rpc, host)
         if len(s.live) < int(s.limit) and not s.first and not s.again:
             self._send(rpc, s, host)
             return True
         left = min(rpc.until, rpc.aim) - self.now
-        line = s.again if rpc.txs else s.first
-        heapq.heappush(line, (rpc.over, -rpc.method.gain, rpc.n, rpc))
+        heapq.heappush(s.again if rpc.txs else s.first, (rpc.over, -rpc.method.gain, rpc.n, rpc))
         self._wait(rpc, min(WAIT * left, left - s.latency))
         self.freed.append(s)
         room = max(1.0, s.limit * WAIT * rpc.method.soft_ms / max(s.latency, 1.0))
@@ -564,12 +554,11 @@
         """What is in line at a server off the path, and what is out at a dead one, is decided anew."""
         for tx in s.live if dead else ():
             self._abandon(tx)
-        for line in (s.first, s.again):
-            for _, _, _, rpc in line:
-                if rpc.line:
-                    rpc.line = 0.0
-                    self.todo.append(rpc)
-            line.clear()
+        for _, _, _, rpc in s.first + s.again:
+            if rpc.line:
+                rpc.line = 0.0
+                self.todo.append(rpc)
+        s.first, s.again = [], []
 
     # ---- the list and the ring
 
