--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -26,7 +26,7 @@
 AGE = 12  # or after this many rounds
 PATIENCE = 0.4  # of the soft deadline: no word at all from a server for this long counts against it
 TARGET = 0.5  # of the soft deadline: answers slower than this shrink the server's limit
-WAIT = 0.5  # of what is left: the longest stay in a line
+WAIT = 0.3  # of what is left: the longest stay in a line
 START_LIMIT = 4.0  # transmissions out at a server we know nothing of
 STRIKES = 3  # failures in a row that take a server off the path
 FAR = float("inf")
@@ -148,8 +148,7 @@
     """One instance: it shares nothing with any other."""
 
     def __init__(self, now: float, d: Deployment) -> None:
-        self.now, self.seed, self.draws = now, d.seed, 0
-        self.methods = {m.name: m for m in d.methods}
+        self.now, self.seed, self.draws, self.methods = now, d.seed, 0, {m.name: m for m in d.methods}
         part = 1000.0 * max(1, d.nodes)  # of a quota a second over all nodes, to this node's a millisecond
         self.shares = {c.name: Share(c.quota_per_s / part) for c in d.customers if c.quota_per_s > 0}
         self.origin_kind, self.origin = d.origin_kind, None
