Count as pressure only what is turned away before a cache

Cause: with a slow origin, misses within shares were turned away, and that shut out hits over a share though the caches were at ease.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -446,7 +446,7 @@
     def _give_up(self, rpc: Rpc, host: Host) -> bool:
         """The final answer, at once."""
         m = rpc.method
-        self.turned += rpc.lost and not rpc.over
+        self.turned += rpc.lost and not rpc.over and not rpc.missed
         harmless = m.idempotency == Idempotency.RETRIABLE or not any(tx.ran for tx in rpc.txs)
         if harmless or (m.idempotency == Idempotency.DEDUPED and m.group == "all"):
             host.exhaust(rpc.id, min(self.retry_after, m.soft_ms) * (0.5 + self._chance() / 2))
