Stop the walk along the ring after eight servers; keep ring points

Cause: every new list made each bucket's chain anew from the whole ring; on the recorded radar enlargement (37 to 116 servers) balancers ran out of CPU.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -11,6 +11,7 @@
 from bisect import bisect_left
 from collections import deque
 from collections.abc import Sequence
+from operator import itemgetter
 from zlib import crc32
 
 from hookpitch.balancer.interface import NEVER_RAN, Deployment, Entry, Host, Idempotency, ListKind
@@ -18,6 +19,7 @@
 
 BUCKETS = 4096  # the unit moved; a hundred for each cache of a fleet of forty
 RING_POINTS = 300  # of a cache of mean size
+CHAIN = 8  # servers looked at along the ring
 ROUND_MS = 2500.0  # half the design page's starting value
 DEAD_BAND = 1.5  # a round acts only when the heaviest is this many times the mean
 MOVE_CAP = 4 / 3  # buckets a round for each cache
@@ -42,6 +44,7 @@
         self.limit, self.growth, self.latency = START_LIMIT, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
         self.answered_at = self.struck_at = -FAR
+        self.points: list[tuple[int, Server]] = []
         self.started, self.cold_until, self.window = -FAR, -FAR, deque[float]()
         self.sent, self.rate, self.load = 0, 0.0, -1.0  # load: as reported, averaged; -1 where it is not
         self.first, self.again = list[Place](), list[Place]()  # lines; further transmissions have their own
@@ -111,8 +114,7 @@
 
 
 def target_point(a: Server, b: Server, lam: float) -> tuple[float, float]:
-    """The paper's h: half of what lies between the heaviest and the lightest, weighted."""
-    return lam * (a.c - b.c) / 2, (1 - lam) * (a.m - b.m) / 2
+    return lam * (a.c - b.c) / 2, (1 - lam) * (a.m - b.m) / 2  # the paper's h
 
 
 def nearest(loads: list[Load], h: tuple[float, float], lam: float) -> Load:
@@ -190,8 +192,7 @@
         listed, changed = dict[str, None](), False
         for e in entries:
             listed[e.id] = None
-            s = self.servers.get(e.id)
-            s = s or self.servers.setdefault(e.id, Server(e.id))
+            s = self.servers.get(e.id) or self.servers.setdefault(e.id, Server(e.id))
             started = e.started_ms if e.started_ms > 0 else -FAR
             if e.state == State.READY and started > s.started:
                 self._leave(s, True)
@@ -228,8 +229,7 @@
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
         rpc.until, rpc.aim = now + useful - self.margin, now + m.soft_ms - self.margin
         share = self.shares.get(customer)
-        # Danger: RPCs over a share in the way of those within. They are shut out while more of those within
-        # are turned away than an RPC over a share keeps of its gain.
+        # Danger: RPCs over a share in the way of those within; shut out while too many of these are turned away
         rpc.over = share is not None and share.over(now)
         rpc.lost = rpc.over and self.pressure > self.overage_gain
         self.asked += not rpc.over
@@ -291,8 +291,6 @@
     def woken(self, now: float) -> None:
         """The time asked for by `wake` has come."""
         self.now = now
-        if now >= self.armed - self.tick / 4:
-            self.armed = FAR
 
     # ---- decisions, one a call
 
@@ -325,8 +323,8 @@
             return True
         due = min(self.wakes[0][0] if self.wakes else FAR, self.ask_at, self.next_beat, self.next_round)
         due = max(due, now + self.tick / 2)
-        # Danger: a wake a little late, or rounded to just before its time, must cost no RPC its answer.
-        if due < self.armed - self.tick / 4 or self.armed <= now:
+        # Danger: a wake late, or rounded to just before its time, must cost no RPC its answer.
+        if due < self.armed - self.tick / 4 or self.armed <= now + self.tick / 4:
             self.armed = due
             host.wake(self.armed)
             return True
@@ -508,9 +506,12 @@
 
     def _chain(self, bucket: Bucket) -> list[Server]:
         if bucket.chain is None:
-            start = bisect_left(self.ring, bucket.point, key=lambda p: p[0])
-            turn = self.ring[start:] + self.ring[:start]
-            bucket.chain = list(dict.fromkeys([s for s in (bucket.at,) if s] + [s for _, s in turn]))
+            start, met = bisect_left(self.ring, bucket.point, key=lambda p: p[0]), dict.fromkeys([bucket.at])
+            for i in range(start, start + len(self.ring)):
+                met[self.ring[i % len(self.ring)][1]] = None
+                if len(met) > CHAIN:  # Danger: a walk around a large ring, for each bucket at each new list
+                    break
+            bucket.chain = [s for s in met if s is not None]
         return bucket.chain
 
     # ---- health
@@ -553,11 +554,11 @@
         """What is in line at a server off the path, and what is out at a dead one, is decided anew."""
         for tx in s.live if dead else ():
             self._abandon(tx)
-        for _, _, _, rpc in s.first + s.again:
-            if rpc.line:
-                rpc.line = 0.0
-                self.todo.append(rpc)
+        waiting = [place[3] for place in s.first + s.again if place[3].line]
         s.first, s.again = [], []
+        for rpc in waiting:
+            rpc.line = 0.0
+        self.todo.extend(waiting)
 
     # ---- the list and the ring
 
@@ -578,8 +579,9 @@
         self.ring = []
         for s in caches:
             points = min(8 * RING_POINTS, max(8, round(self.points_per_size * s.size)))
-            self.ring += [(crc32(f"{s.id}/{i}".encode()), s) for i in range(points)]
-        self.ring.sort(key=lambda p: (p[0], p[1].id))
+            s.points += [(crc32(f"{s.id}/{i}".encode()), s) for i in range(len(s.points), points)]
+            self.ring += s.points[:points]
+        self.ring.sort(key=itemgetter(0))
         points = [p for p, _ in self.ring]
         for b in self.buckets:
             moved = b.at is not b.home
@@ -588,8 +590,6 @@
                 b.at = b.home
             b.chain = None
 
-    # ---- rounds
-
     def _age_keys(self) -> None:
         for key in self.old:
             if key not in self.young:
@@ -641,8 +641,6 @@
         for bucket, to in migrate(caches, loads):
             bucket.at, bucket.chain = to, None
 
-    # ---- small things
-
     def _chance(self) -> float:
         return crc32(b"%d/%d" % (self.seed, self._count())) / 2**32
 
