--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -229,7 +229,7 @@
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
         rpc.until, rpc.aim = now + useful - self.margin, now + m.soft_ms - self.margin
         share = self.shares.get(customer)
-        # Danger: RPCs over a share in the way of those within; shut out while too many of these are turned away
+        # Danger: RPCs over a share in the way of those within; shut out while many of these are turned away
         rpc.over = share is not None and share.over(now)
         rpc.lost = rpc.over and self.pressure > self.overage_gain
         self.asked += not rpc.over
