--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -29,7 +29,7 @@
 PATIENCE = 0.4  # of the soft deadline: no word at all from a server for this long counts against it
 TARGET = 0.5  # of the soft deadline: answers slower than this shrink the server's limit
 WAIT = 0.3  # of what is left: the longest stay in a line
-START_LIMIT = 4.0  # transmissions out at a server we know nothing of
+START_LIMIT = 2.0  # transmissions out at a server we know nothing of, or that is back on the path
 STRIKES = 3  # failures in a row that take a server off the path
 FAR = float("inf")
 Place = tuple[bool, float, int, "Rpc"]  # in a line: over share, -gain, arrival
@@ -520,7 +520,7 @@
         s = tx.server
         s.answered_at, s.failures = self.now, 0
         if s.off:
-            s.off, s.backoff, s.limit = False, 0.0, min(s.limit, START_LIMIT / 2)
+            s.off, s.backoff, s.limit = False, 0.0, min(s.limit, START_LIMIT)
             self._tell(f"{s.id} back on the path")
         s.ok = s.state == State.READY and self.now >= s.cold_until
         if full_work:
@@ -538,7 +538,7 @@
         if s.failures >= STRIKES and not (s.off and self.now < s.off_until):
             if not s.off:
                 self._tell(f"{s.id} off the path after {s.failures} failures in a row")
-            s.off, s.ok, s.limit = True, False, START_LIMIT / 2
+            s.off, s.ok, s.limit = True, False, START_LIMIT
             s.backoff = min(self.pause * 8, max(self.pause, 2 * s.backoff))
             s.off_until = self.now + s.backoff
             self._leave(s, True)
