Ring kept sorted with caches passed over; buckets made when first asked for

Now points come 150 a cache from one digest, stay sorted, and caches that are not ready are passed over; a bucket exists once it was asked for.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -8,17 +8,18 @@
 from __future__ import annotations
 
 import heapq
+from array import array
 from bisect import bisect_left
 from collections import deque
-from collections.abc import Sequence
-from operator import itemgetter
+from collections.abc import Iterator, Sequence
+from hashlib import shake_128
 from zlib import crc32
 
 from hookpitch.balancer.interface import NEVER_RAN, Deployment, Entry, Host, Idempotency, ListKind
 from hookpitch.balancer.interface import Method, Outcome, Report, State
 
 BUCKETS = 4096  # the unit moved; a hundred for each cache of a fleet of forty
-RING_POINTS = 300  # of a cache of mean size
+RING_POINTS = 150  # of a cache of mean size
 CHAIN = 8  # servers looked at along the ring
 ROUND_MS = 2500.0  # half the design page's starting value
 DEAD_BAND = 1.5  # a round acts only when the heaviest is this many times the mean
@@ -44,11 +45,10 @@
         self.limit, self.growth, self.latency = START_LIMIT, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
         self.answered_at = self.struck_at = -FAR
-        self.points: list[tuple[int, Server]] = []
         self.started, self.cold_until, self.window = -FAR, -FAR, deque[float]()
         self.sent, self.rate, self.load = 0, 0.0, -1.0  # load: as reported, averaged; -1 where it is not
         self.first, self.again = list[Place](), list[Place]()  # lines; further transmissions have their own
-        self.c = self.m = 0.0
+        self.c, self.m, self.points = 0.0, 0.0, 0  # the mechanism's loads; points on the ring
         self.ok = False  # ready, on the path and warm: the ordinary path asks no more than this
 
 
@@ -56,7 +56,7 @@
     """The unit that is moved between caches."""
 
     def __init__(self, number: int) -> None:
-        self.point = crc32(b"bucket/%d" % number)
+        self.point = crc32(b"bucket/%d" % number) << 16
         self.home: Server | None = None
         self.at: Server | None = None
         self.chain: list[Server] | None = None  # along the ring, home first; made when asked for
@@ -64,16 +64,12 @@
 
 
 class Tx:
-    """One transmission."""
-
     def __init__(self, rpc: Rpc, server: Server, n: int, sent: float) -> None:
         self.rpc, self.server, self.n, self.sent = rpc, server, n, sent
         self.done, self.ran, self.counted = False, True, False  # ran: may have, until proven otherwise
 
 
 class Rpc:
-    """One RPC from arrival to its final answer and the end of its last transmission."""
-
     def __init__(self, n: int, id: str, key: str, bucket: Bucket, method: Method, write: bool) -> None:
         self.n, self.id, self.key, self.bucket, self.method, self.write = n, id, key, bucket, method, write
         self.until = self.aim = 0.0
@@ -89,7 +85,6 @@
         self.rate, self.most, self.tokens, self.at = rate, rate * ROUND_MS / 5, rate * ROUND_MS / 5, 0.0
 
     def over(self, now: float) -> bool:
-        """Whether one more RPC is over the share."""
         self.tokens, self.at = min(self.most, self.tokens + (now - self.at) * self.rate), now
         over = self.tokens < 1
         self.tokens -= not over
@@ -106,8 +101,7 @@
     return lam, lam * lam / (lam * lam + (1 - lam) ** 2)
 
 
-def imbalance(caches: Sequence[Server], mu: float) -> float:
-    """The paper's sigma of the cluster."""
+def imbalance(caches: Sequence[Server], mu: float) -> float:  # the paper's sigma of the cluster
     k = len(caches)
     mc, mm = sum(s.c for s in caches) / k, sum(s.m for s in caches) / k
     return (sum(mu * (s.c - mc) ** 2 + (1 - mu) * (s.m - mm) ** 2 for s in caches) / k) ** 0.5
@@ -162,19 +156,18 @@
         self.ask_within, self.ask_backoff = d.ask_within_ms or 10000.0, 0.0
         self.ask_at = now if d.must_ask else FAR
         self.servers: dict[str, Server] = {}
-        self.buckets = [Bucket(i) for i in range(BUCKETS)]
-        self.ring: list[tuple[int, Server]] = []
-        self.points_per_size = 0.0
+        self.buckets: dict[int, Bucket] = {}  # those asked for so far
+        self.ring = array("Q")  # a point in the upper bits, a cache's place in `caches` in the lower sixteen
+        self.caches, self.freed = list[Server](), deque[Server]()  # caches: all on the ring, ready or not
         self.rpcs: dict[str, Rpc] = {}
         self.fetches: dict[str, tuple[Rpc, list[Rpc]]] = {}  # key -> who fetches it, who waits for that
         self.young, self.old = dict[str, None](), dict[str, None]()  # keys asked for, in two generations
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
-        self.armed, self.aged_at = FAR, now
+        self.armed, self.aged_at, self.points_per_size = FAR, now, 0.0
         self.asked, self.turned, self.pressure, self.overage_gain = 1, 0, 0.0, d.overage_gain
         self.next_beat, self.beat_at, self.warm_rate = now + self.window, now, 0.0
         self.next_round = now + ROUND_MS * (1 + self._chance())
-        self.todo, self.freed = deque[Rpc](), deque[Server]()
-        self.retract, self.news = deque[Tx](), deque[str]()
+        self.todo, self.retract, self.news = deque[Rpc](), deque[Tx](), deque[str]()
 
     # ---- inputs: they update what is known, nothing else
 
@@ -182,14 +175,13 @@
         """A list, a change to it, or word that discovery failed."""
         self.now = now
         if kind == ListKind.FAILED:
-            # Danger: a lost watch never renewed leaves sends to servers long gone; asked for by all nodes at
-            # once, discovery is swamped.
+            # Danger: a lost watch never renewed leaves sends to servers long gone.
             self.ask_backoff = min(self.ask_within / 4, max(self.ask_within / 20, 2 * self.ask_backoff))
             self.ask_at = now + self.ask_backoff * (0.5 + self._chance())
             return self._tell("discovery lost, asking again")
         if kind != ListKind.CACHED and self.ask_at < FAR:
             self.ask_backoff, self.ask_at = 0.0, FAR
-        listed, changed = dict[str, None](), False
+        listed, changed, resized = dict[str, None](), False, list[Server]()
         for e in entries:
             listed[e.id] = None
             s = self.servers.get(e.id) or self.servers.setdefault(e.id, Server(e.id))
@@ -198,7 +190,10 @@
                 self._leave(s, True)
                 s.started, s.failures, s.off, s.limit = started, 0, False, START_LIMIT
                 s.answered_at, s.cold_until = -FAR, started + self.cold_ms
-            changed |= s.state != e.state or s.size != e.size
+            changed |= s.state != e.state
+            if e.state == State.READY and (not s.points or s.size != max(e.size, 1e-3)):
+                changed = True
+                resized.append(s)
             s.zone, s.cell, s.size, s.kind = e.zone, e.cell, max(e.size, 1e-3), e.kind
             self._state(s, e.state)
         if kind != ListKind.DELTA:
@@ -207,7 +202,7 @@
                     changed = True
                     self._state(s, State.GONE)
         if changed:
-            self._rebuild()
+            self._rebuild(resized)
 
     def rpc_arrived(self, now: float, id: str, key: str, method: str, customer: str, write: bool,
                     grace: float) -> None:  # fmt: skip
@@ -216,14 +211,11 @@
         if id in self.rpcs:
             return
         m = self.methods.get(method) or Method(method, grace, grace, 0.0, 0.0, Idempotency.NON_RETRIABLE)
-        self.draws += 1
-        if key:
-            bucket = self.buckets[crc32(key.encode()) % BUCKETS]
-            if key not in self.young:
-                self.young[key] = None
-                bucket.keys += key not in self.old
-        else:  # a keyless RPC still needs a bucket: any will do
-            bucket = self.buckets[crc32(b"%d/%d" % (self.seed, self.draws)) % BUCKETS]
+        self.draws += 1  # a keyless RPC still needs a bucket: any will do
+        bucket = self._bucket(crc32(key.encode() or b"%d/%d" % (self.seed, self.draws)) % BUCKETS)
+        if key and key not in self.young:
+            self.young[key] = None
+            bucket.keys += key not in self.old
         bucket.count += 1
         rpc = Rpc(self.draws, id, key, bucket, m, write)
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
@@ -241,11 +233,10 @@
         """A transmission is over; `last` where its RPC has ended too."""
         self.now = now
         rpc = self.rpcs.get(id)
-        if rpc is None or not 0 <= n < len(rpc.txs) or rpc.txs[n].done:
+        tx = rpc.txs[n] if rpc and 0 <= n < len(rpc.txs) else None
+        if rpc is None or tx is None or tx.done:
             return
-        tx = rpc.txs[n]
-        s = tx.server
-        tx.done = True
+        tx.done, s = True, tx.server
         rpc.live -= 1
         s.live.pop(tx, None)
         tx.ran = outcome not in NEVER_RAN
@@ -273,7 +264,6 @@
             self.todo.append(rpc)
 
     def stream_begun(self, now: float, id: str, n: int) -> None:
-        """The answer has begun: the transmission is the client's now."""
         self.now = now
         rpc = self.rpcs.get(id)
         if rpc is not None and 0 <= n < len(rpc.txs) and not rpc.txs[n].done:
@@ -281,7 +271,6 @@
             self._answered(rpc.txs[n], now - rpc.txs[n].sent, False)
 
     def client_left(self, now: float, id: str) -> None:
-        """The client is gone: nothing more is owed."""
         self.now = now
         rpc = self.rpcs.get(id)
         if rpc is not None and not rpc.closed:
@@ -289,8 +278,7 @@
             self._close(rpc)
 
     def woken(self, now: float) -> None:
-        """The time asked for by `wake` has come."""
-        self.now = now
+        self.now = now  # the time asked for by `wake` has come
 
     # ---- decisions, one a call
 
@@ -331,7 +319,6 @@
         return False
 
     def _due(self) -> None:
-        """What time alone brings about."""
         now = self.now
         while self.wakes and self.wakes[0][0] <= now:
             _, _, rpc, tx = heapq.heappop(self.wakes)
@@ -355,8 +342,7 @@
 
     def _route(self, rpc: Rpc, host: Host) -> bool:
         """Send, queue or give up one RPC; True where the host was told something."""
-        now = self.now
-        tries = len(rpc.txs)
+        now, tries = self.now, len(rpc.txs)
         if rpc.lost or tries >= self.max_txs or rpc.until - now <= self.margin:
             return self._give_up(rpc, host)
         if self.origin_kind >= 0:
@@ -417,8 +403,7 @@
         return None
 
     def _send(self, rpc: Rpc, s: Server, host: Host) -> None:
-        now = self.now
-        tx = Tx(rpc, s, len(rpc.txs), now)
+        now, tx = self.now, Tx(rpc, s, len(rpc.txs), self.now)
         rpc.txs.append(tx)
         rpc.live += 1
         s.live[tx] = None
@@ -429,8 +414,7 @@
         heapq.heappush(self.wakes, (now + patience, self._count(), rpc, tx))
         host.send(rpc.id, s.id, rpc.until - now)
 
-    def _may_send(self, rpc: Rpc, s: Server) -> bool:
-        """Rule 2, for a further transmission."""
+    def _may_send(self, rpc: Rpc, s: Server) -> bool:  # rule 2, for a further transmission
         kind = rpc.method.idempotency
         ran = next((tx for tx in rpc.txs if tx.ran), None)
         if kind == Idempotency.RETRIABLE or ran is None:
@@ -442,7 +426,6 @@
         return kind == Idempotency.DEDUPED and alike and remembered
 
     def _give_up(self, rpc: Rpc, host: Host) -> bool:
-        """The final answer, at once."""
         m = rpc.method
         self.turned += rpc.lost and not rpc.over and not rpc.missed
         harmless = m.idempotency == Idempotency.RETRIABLE or not any(tx.ran for tx in rpc.txs)
@@ -470,9 +453,9 @@
 
     def _along(self, rpc: Rpc) -> Server | None:
         """The first fit server from the bucket's place on; else a busy one whose line to stand in."""
-        now, bucket, busy = self.now, rpc.bucket, None
+        now, busy = self.now, None
         crowded = self.origin and (self.origin.again or 2 * len(self.origin.live) >= self.origin.limit)
-        for s in self._chain(bucket):
+        for s in self._chain(rpc.bucket):
             if s.state != State.READY or any(tx.server is s for tx in rpc.txs) or not self._may_send(rpc, s):
                 continue
             if now < s.cold_until and not self._cold_room(s):
@@ -506,12 +489,12 @@
 
     def _chain(self, bucket: Bucket) -> list[Server]:
         if bucket.chain is None:
-            start, met = bisect_left(self.ring, bucket.point, key=lambda p: p[0]), dict.fromkeys([bucket.at])
-            for i in range(start, start + len(self.ring)):
-                met[self.ring[i % len(self.ring)][1]] = None
-                if len(met) > CHAIN:  # Danger: a walk around a large ring, for each bucket at each new list
+            met = dict.fromkeys([bucket.at] if bucket.at else [])
+            for s in self._ready_from(bucket.point):
+                met[s] = None
+                if len(met) >= CHAIN:  # Danger: a walk around a large ring, for each bucket at each new list
                     break
-            bucket.chain = [s for s in met if s is not None]
+            bucket.chain = list(met)
         return bucket.chain
 
     # ---- health
@@ -535,7 +518,7 @@
         if s is self.origin:
             s.limit = max(1.0, s.limit * 0.8)  # there is no other: it is asked less, never left
             return
-        if s.failures >= STRIKES and not (s.off and self.now < s.off_until):
+        if s.failures >= STRIKES and (not s.off or self.now >= s.off_until):
             if not s.off:
                 self._tell(f"{s.id} off the path after {s.failures} failures in a row")
             s.off, s.ok, s.limit = True, False, START_LIMIT
@@ -543,8 +526,7 @@
             s.off_until = self.now + s.backoff
             self._leave(s, True)
 
-    def _abandon(self, tx: Tx) -> None:
-        """Call a transmission off where another server may still answer in time."""
+    def _abandon(self, tx: Tx) -> None:  # call it off where another server may still answer in time
         rpc = tx.rpc
         elsewhere = not rpc.closed and tx.server is not self.origin and len(rpc.txs) < self.max_txs
         if elsewhere and rpc.method.idempotency != Idempotency.NON_RETRIABLE:
@@ -554,11 +536,11 @@
         """What is in line at a server off the path, and what is out at a dead one, is decided anew."""
         for tx in s.live if dead else ():
             self._abandon(tx)
-        waiting = [place[3] for place in s.first + s.again if place[3].line]
+        for _, _, _, rpc in s.first + s.again:
+            if rpc.line:
+                rpc.line = 0.0
+                self.todo.append(rpc)
         s.first, s.again = [], []
-        for rpc in waiting:
-            rpc.line = 0.0
-        self.todo.extend(waiting)
 
     # ---- the list and the ring
 
@@ -568,60 +550,78 @@
         s.state = state
         s.ok = state == State.READY and not s.off and self.now >= s.cold_until
 
-    def _rebuild(self) -> None:
+    def _rebuild(self, resized: list[Server]) -> None:
         """The ring over ready caches; points go by listed size and by nothing that other servers change."""
         ready = [s for s in self.servers.values() if s.state == State.READY]
-        caches = [s for s in ready if s.kind != self.origin_kind]
         if self.origin not in ready:
             self.origin = next((s for s in ready if s.kind == self.origin_kind), self.origin)
-        if caches and not self.points_per_size:
-            self.points_per_size = RING_POINTS * len(caches) / sum(s.size for s in caches)
-        self.ring = []
-        for s in caches:
-            points = min(8 * RING_POINTS, max(8, round(self.points_per_size * s.size)))
-            s.points += [(crc32(f"{s.id}/{i}".encode()), s) for i in range(len(s.points), points)]
-            self.ring += s.points[:points]
-        self.ring.sort(key=itemgetter(0))
-        points = [p for p, _ in self.ring]
-        for b in self.buckets:
-            moved = b.at is not b.home
-            b.home = self.ring[bisect_left(points, b.point) % len(points)][1] if points else None
-            if not moved or b.at is None or b.at.state != State.READY:
-                b.at = b.home
-            b.chain = None
-
-    def _age_keys(self) -> None:
-        for key in self.old:
-            if key not in self.young:
-                self.buckets[crc32(key.encode()) % BUCKETS].keys -= 1
-        self.old, self.young, self.aged_at = self.young, {}, self.now
-
-    def _beat(self) -> None:
-        """Rates, once a window of rule 4."""
-        span = max(self.now - self.beat_at, 1.0)
-        self.beat_at, self.next_beat = self.now, self.now + self.window
+        resized = [s for s in resized if s.kind != self.origin_kind]
+        if resized and not self.points_per_size:
+            self.points_per_size = RING_POINTS * len(resized) / sum(s.size for s in resized)
+        # Danger: a large ring made anew by hundreds of nodes at each change of the list. Caches not ready
+        # stay on it and are passed over, until most are gone; new points are sorted into the sorted ones.
+        if 2 * sum(s.state == State.GONE for s in self.caches) > len(self.caches):
+            for s in self.caches:
+                s.points = 0
+            self.caches, self.ring, resized = [], array("Q"), [s for s in ready if s.kind != self.origin_kind]
+        ring = list(self.ring) if resized else []
+        for s in resized:
+            if s.points:
+                ring = [p for p in ring if self.caches[p & 0xFFFF] is not s]
+            else:
+                self.caches.append(s)
+            s.points, n = int(min(8 * RING_POINTS, 8 + self.points_per_size * s.size)), self.caches.index(s)
+            ring += [p << 16 | n for p in array("I", shake_128(s.id.encode()).digest(4 * s.points))]
+        if resized:
+            self.ring = array("Q", sorted(ring))
+        for b in self.buckets.values():
+            self._home(b)
+
+    def _bucket(self, number: int) -> Bucket:
+        bucket = self.buckets.get(number)
+        if bucket is None:
+            bucket = self.buckets[number] = Bucket(number)
+            self._home(bucket)
+        return bucket
+
+    def _home(self, b: Bucket) -> None:
+        moved, b.chain = b.at is not b.home, None
+        b.home = next(self._ready_from(b.point), None)
+        if not moved or b.at is None or b.at.state != State.READY:
+            b.at = b.home
+
+    def _ready_from(self, point: int) -> Iterator[Server]:
+        start, n = bisect_left(self.ring, point), len(self.ring)
+        for i in range(start, start + n):
+            s = self.caches[self.ring[i % n] & 0xFFFF]
+            if s.state == State.READY:
+                yield s
+
+    def _beat(self) -> None:  # rates, once a window of rule 4
+        span, self.beat_at = max(self.now - self.beat_at, 1.0), self.now
+        self.next_beat = self.now + self.window
         self.pressure = max(self.turned / self.asked, self.pressure / 2)
         self.asked, self.turned = 1, 0
-        rate = size = 0.0
         for s in self.servers.values():
-            s.rate += (s.sent * 1000 / span - s.rate) / 2
-            s.sent = 0
+            s.rate, s.sent = s.rate / 2 + s.sent * 500 / span, 0
             for line in (s.first, s.again):
                 if line:  # Danger: a line of RPCs that have long had their answer
                     line[:] = sorted(place for place in line if place[3].line)
             if s.state == State.READY and not s.off:
                 s.ok = self.now >= s.cold_until
-                if s.ok and s.kind != self.origin_kind:
-                    rate, size = rate + s.rate, size + s.size
-        self.warm_rate = rate / size if size else self.warm_rate
+        warm = [s for s in self.servers.values() if s.ok and s is not self.origin]
+        self.warm_rate = sum(s.rate for s in warm) / sum(s.size for s in warm) if warm else self.warm_rate
 
     def _round(self) -> None:
         """The mechanism's round over caches heard and warm; the others count at the mean."""
         heard = (s for s in self.servers.values() if s.ok and s.answered_at > -FAR and s is not self.origin)
         held: dict[Server, list[Bucket]] = {s: [] for s in heard}
         if len(self.young) >= KEYS_KEPT or self.now >= self.aged_at + AGE * ROUND_MS:
-            self._age_keys()
-        for b in self.buckets:
+            for key in self.old:
+                if key not in self.young:
+                    self._bucket(crc32(key.encode()) % BUCKETS).keys -= 1
+            self.old, self.young, self.aged_at = self.young, {}, self.now
+        for b in self.buckets.values():
             b.rate, b.count = b.rate / 2 + b.count / 2, 0
             if b.at in held:
                 held[b.at].append(b)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,7 +4,7 @@
 
 from fleet import ORIGIN, Fleet, deployment, entry
 
-from hookpitch.balancer.decisions import Bucket, Server, migrate, nearest, target_point, weights
+from hookpitch.balancer.decisions import BUCKETS, Bucket, Server, migrate, nearest, target_point, weights
 from hookpitch.balancer.interface import Customer, ListKind, Method, Outcome, State
 
 
@@ -43,11 +43,11 @@
     f = fleet()
     for i in range(600):  # one cache's keys are asked for far more often than the others'
         key = f"key{i % 40}"
-        heavy = f.node.buckets[crc32(key.encode()) % len(f.node.buckets)].home.id == "s0"
+        heavy = f.node._bucket(crc32(key.encode()) % BUCKETS).home.id == "s0"
         for _ in range(9 if heavy else 1):
             f.end(f.arrive(key), Outcome.COMPLETED)
         f.pass_time(10.0)
-    moved = [b for b in f.node.buckets if b.at is not b.home]
+    moved = [b for b in f.node.buckets.values() if b.at is not b.home]
     assert moved and all(b.home.id == "s0" for b in moved)
     f.listed([entry(moved[0].at.id, State.DRAINING)], ListKind.DELTA)
     assert moved[0].at.state == State.READY  # buckets on a draining cache go home
