--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -25,14 +25,18 @@
 DEAD_BAND = 1.5  # a round acts only when the heaviest is this many times the mean
 MOVE_CAP = 4 / 3  # buckets a round for each cache
 IMPROVEMENT = 0.5  # the paper's IT: a round stops once sigma has fallen by this share
+EVIDENCE = 8  # answers from a cache before it takes part in a round
 KEYS_KEPT = 16 * BUCKETS  # a generation of distinct keys ends when it holds this many,
 AGE = 12  # or after this many rounds
 PATIENCE = 0.4  # of the soft deadline: no word at all from a server for this long counts against it
 TARGET = 0.5  # of the soft deadline: answers slower than this shrink the server's limit
 WAIT = 0.3  # of what is left: the longest stay in a line
 START_LIMIT = 2.0  # transmissions out at a server we know nothing of, or that is back on the path
+SAVED = 12.0  # RPCs of a share that a node may save up, however small its part of the quota
+SPARE_STEP = 1 / 16  # more of what is over a share is let in after each calm window
 STRIKES = 3  # failures in a row that take a server off the path
 FAR = float("inf")
+WAITED = (Outcome.COMPLETED, Outcome.MISS, Outcome.TIMEOUT)
 Place = tuple[bool, float, int, "Rpc"]  # in a line: over share, -gain, arrival
 
 
@@ -48,7 +52,7 @@
         self.started, self.cold_until, self.window = -FAR, -FAR, deque[float]()
         self.sent, self.rate, self.load = 0, 0.0, -1.0  # load: as reported, averaged; -1 where it is not
         self.first, self.again = list[Place](), list[Place]()  # lines; further transmissions have their own
-        self.c, self.m, self.points = 0.0, 0.0, 0  # the mechanism's loads; points on the ring
+        self.c, self.m, self.points, self.heard = 0.0, 0.0, 0, 0  # the mechanism's loads; points on the ring
         self.ok = False  # ready, on the path and warm: the ordinary path asks no more than this
 
 
@@ -73,6 +77,7 @@
     def __init__(self, n: int, id: str, key: str, bucket: Bucket, method: Method, write: bool) -> None:
         self.n, self.id, self.key, self.bucket, self.method, self.write = n, id, key, bucket, method, write
         self.until = self.aim = 0.0
+        self.share: Share | None = None  # whose token it holds until it is completed
         self.over = self.missed = self.closed = self.lost = False
         self.txs, self.live = list[Tx](), 0
         self.line = 0.0  # when its stay in a line is over; 0 when in none
@@ -81,8 +86,9 @@
 class Share:
     """A customer's share at this node, as tokens."""
 
-    def __init__(self, rate: float) -> None:
-        self.rate, self.most, self.tokens, self.at = rate, rate * ROUND_MS / 5, rate * ROUND_MS / 5, 0.0
+    def __init__(self, rate: float, now: float) -> None:
+        # Danger: hundreds of nodes, a quota of under one RPC a window for each: all would be over it for good.
+        self.rate, self.most, self.tokens, self.at = rate, rate * ROUND_MS / 5 + SAVED, SAVED / 4, now
 
     def over(self, now: float) -> bool:
         self.tokens, self.at = min(self.most, self.tokens + (now - self.at) * self.rate), now
@@ -146,7 +152,7 @@
     def __init__(self, now: float, d: Deployment) -> None:
         self.now, self.seed, self.draws, self.methods = now, d.seed, 0, {m.name: m for m in d.methods}
         part = 1000.0 * max(1, d.nodes)  # of a quota a second over all nodes, to this node's a millisecond
-        self.shares = {c.name: Share(c.quota_per_s / part) for c in d.customers if c.quota_per_s > 0}
+        self.shares = {c.name: Share(c.quota_per_s / part, now) for c in d.customers if c.quota_per_s > 0}
         self.origin_kind, self.origin = d.origin_kind, None
         self.max_txs, self.cancelling = d.max_transmissions or 1, d.cancelling
         self.retry_after = d.max_retry_after_ms
@@ -165,6 +171,7 @@
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
         self.armed, self.aged_at, self.points_per_size = FAR, now, 0.0
         self.asked, self.turned, self.pressure, self.overage_gain = 1, 0, 0.0, d.overage_gain
+        self.spare = 1.0  # the part let in of what is over a share
         self.next_beat, self.beat_at, self.warm_rate = now + self.window, now, 0.0
         self.next_round = now + ROUND_MS * (1 + self._chance())
         self.todo, self.retract, self.news = deque[Rpc](), deque[Tx](), deque[str]()
@@ -223,7 +230,8 @@
         share = self.shares.get(customer)
         # Danger: RPCs over a share in the way of those within; shut out while many of these are turned away
         rpc.over = share is not None and share.over(now)
-        rpc.lost = rpc.over and self.pressure > self.overage_gain
+        rpc.share = None if rpc.over else share
+        rpc.lost = rpc.over and self._chance() >= self.spare
         self.asked += not rpc.over
         self.rpcs[id] = rpc
         self.todo.append(rpc)
@@ -240,6 +248,8 @@
         rpc.live -= 1
         s.live.pop(tx, None)
         tx.ran = outcome not in NEVER_RAN
+        # Danger: hundreds of nodes, none with enough out to be full, fill the servers with what is over a share.
+        self.turned += now >= rpc.aim and outcome in WAITED and s is not self.origin and not rpc.over
         if report:
             held = report.get("utilisation", report.get("inflight", report.get("queue", -2.0) + 1))
             s.load += (held - s.load) / 8 if s.load >= 0 else held + 1
@@ -258,6 +268,8 @@
         if s.first or s.again:
             self.freed.append(s)
         rpc.missed |= outcome == Outcome.MISS
+        if outcome == Outcome.COMPLETED:
+            rpc.share = None
         if last or rpc.closed:
             self._close(rpc)
         else:
@@ -439,6 +451,8 @@
     def _close(self, rpc: Rpc) -> None:
         """The RPC has its answer; its record goes when its last transmission has ended."""
         rpc.closed, rpc.line = True, 0.0
+        if rpc.share:  # Danger: a client's tries for one RPC use its customer's share up several times over.
+            rpc.share.tokens += 1
         fetch = self.fetches.get(rpc.key)
         if fetch is not None and fetch[0] is rpc:
             del self.fetches[rpc.key]
@@ -501,7 +515,7 @@
 
     def _answered(self, tx: Tx, took: float, full_work: bool) -> None:
         s = tx.server
-        s.answered_at, s.failures = self.now, 0
+        s.answered_at, s.failures, s.heard = self.now, 0, s.heard + 1
         if s.off:
             s.off, s.backoff, s.limit = False, 0.0, min(s.limit, START_LIMIT)
             self._tell(f"{s.id} back on the path")
@@ -601,6 +615,8 @@
         span, self.beat_at = max(self.now - self.beat_at, 1.0), self.now
         self.next_beat = self.now + self.window
         self.pressure = max(self.turned / self.asked, self.pressure / 2)
+        # Danger: what is over a share is let in by all nodes at once when the servers have just caught up.
+        self.spare = self.spare / 4 if self.pressure > self.overage_gain else min(1.0, self.spare + SPARE_STEP)
         self.asked, self.turned = 1, 0
         for s in self.servers.values():
             s.rate, s.sent = s.rate / 2 + s.sent * 500 / span, 0
@@ -614,7 +630,9 @@
 
     def _round(self) -> None:
         """The mechanism's round over caches heard and warm; the others count at the mean."""
-        heard = (s for s in self.servers.values() if s.ok and s.answered_at > -FAR and s is not self.origin)
+        # Danger: hundreds of nodes each move keys on a few answers' noise, and every cache misses them. A cache
+        # takes part once it has answered this node often enough since a bucket last came or went.
+        heard = (s for s in self.servers.values() if s.ok and s.heard >= EVIDENCE and s is not self.origin)
         held: dict[Server, list[Bucket]] = {s: [] for s in heard}
         if len(self.young) >= KEYS_KEPT or self.now >= self.aged_at + AGE * ROUND_MS:
             for key in self.old:
@@ -639,6 +657,7 @@
             r, k = sum(b.rate for b in held[s]) or 1.0, sum(b.keys for b in held[s]) or 1
             loads[s] = [(s.c * b.rate / r, s.m * b.keys / k, b) for b in held[s]]
         for bucket, to in migrate(caches, loads):
+            bucket.at.heard = to.heard = 0
             bucket.at, bucket.chain = to, None
 
     def _chance(self) -> float:
