Origin's limit under one, kept by rests; over-share traffic starts at a quarter

Cause: one fetch out from each of hundreds of nodes is a crowd for the small origin, and its limit could not fall under one. Now a limit under one is kept by a rest after each transmission; what is over a share is not fetched from such an origin; and of what is over a share a quarter is let in at the start, not all.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -34,21 +34,20 @@
 START_LIMIT = 2.0  # transmissions out at a server we know nothing of, or that is back on the path
 SAVED = 12.0  # RPCs of a share that a node may save up, however small its part of the quota
 SPARE_STEP = 1 / 16  # more of what is over a share is let in after each calm window
+LEAST = 1 / 64  # the lowest limit
 STRIKES = 3  # failures in a row that take a server off the path
 FAR = float("inf")
 WAITED = (Outcome.COMPLETED, Outcome.MISS, Outcome.TIMEOUT)
 Place = tuple[bool, float, int, "Rpc"]  # in a line: over share, -gain, arrival
 
 
-class Server:
-    """All that is known of one cache server, or of the origin."""
-
+class Server:  # all that is known of one cache server, or of the origin
     def __init__(self, id: str) -> None:
         self.id, self.state, self.zone, self.cell, self.size, self.kind = id, State.GONE, "", 0, 1.0, 0
         self.live: dict[Tx, None] = {}  # transmissions out, oldest first
         self.limit, self.growth, self.latency = START_LIMIT, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
-        self.answered_at = self.struck_at = -FAR
+        self.answered_at = self.struck_at = self.rest_until = -FAR
         self.started, self.cold_until, self.window = -FAR, -FAR, deque[float]()
         self.sent, self.rate, self.load = 0, 0.0, -1.0  # load: as reported, averaged; -1 where it is not
         self.first, self.again = list[Place](), list[Place]()  # lines; further transmissions have their own
@@ -56,9 +55,7 @@
         self.ok = False  # ready, on the path and warm: the ordinary path asks no more than this
 
 
-class Bucket:
-    """The unit that is moved between caches."""
-
+class Bucket:  # the unit that is moved between caches
     def __init__(self, number: int) -> None:
         self.point = crc32(b"bucket/%d" % number) << 16
         self.home: Server | None = None
@@ -81,13 +78,12 @@
         self.over = self.missed = self.closed = self.lost = False
         self.txs, self.live = list[Tx](), 0
         self.line = 0.0  # when its stay in a line is over; 0 when in none
+        self.queued: Server | None = None  # in whose line
 
 
-class Share:
-    """A customer's share at this node, as tokens."""
-
+class Share:  # a customer's share at this node, as tokens
     def __init__(self, rate: float, now: float) -> None:
-        # Danger: hundreds of nodes, a quota of under one RPC a window for each: all would be over it for good.
+        # Danger: hundreds of nodes, a quota under one RPC a window for each: all are over it for good.
         self.rate, self.most, self.tokens, self.at = rate, rate * ROUND_MS / 5 + SAVED, SAVED / 4, now
 
     def over(self, now: float) -> bool:
@@ -171,7 +167,7 @@
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
         self.armed, self.aged_at, self.points_per_size = FAR, now, 0.0
         self.asked, self.turned, self.pressure, self.overage_gain = 1, 0, 0.0, d.overage_gain
-        self.spare = 1.0  # the part let in of what is over a share
+        self.spare = 4 * SPARE_STEP  # the part let in of what is over a share
         self.next_beat, self.beat_at, self.warm_rate = now + self.window, now, 0.0
         self.next_round = now + ROUND_MS * (1 + self._chance())
         self.todo, self.retract, self.news = deque[Rpc](), deque[Tx](), deque[str]()
@@ -179,7 +175,6 @@
     # ---- inputs: they update what is known, nothing else
 
     def servers_listed(self, now: float, kind: ListKind, entries: list[Entry]) -> None:
-        """A list, a change to it, or word that discovery failed."""
         self.now = now
         if kind == ListKind.FAILED:
             # Danger: a lost watch never renewed leaves sends to servers long gone.
@@ -213,7 +208,6 @@
 
     def rpc_arrived(self, now: float, id: str, key: str, method: str, customer: str, write: bool,
                     grace: float) -> None:  # fmt: skip
-        """An RPC was taken from a client, who waits `grace` milliseconds."""
         self.now = now
         if id in self.rpcs:
             return
@@ -238,7 +232,6 @@
 
     def tx_ended(self, now: float, id: str, n: int, outcome: Outcome, last: bool, took: float,
                  report: Report) -> None:  # fmt: skip
-        """A transmission is over; `last` where its RPC has ended too."""
         self.now = now
         rpc = self.rpcs.get(id)
         tx = rpc.txs[n] if rpc and 0 <= n < len(rpc.txs) else None
@@ -248,7 +241,7 @@
         rpc.live -= 1
         s.live.pop(tx, None)
         tx.ran = outcome not in NEVER_RAN
-        # Danger: hundreds of nodes, none with enough out to be full, fill the servers with what is over a share.
+        # Danger: hundreds of nodes, none of which ever fills a server, crowd it with what is over shares.
         self.turned += now >= rpc.aim and outcome in WAITED and s is not self.origin and not rpc.over
         if report:
             held = report.get("utilisation", report.get("inflight", report.get("queue", -2.0) + 1))
@@ -265,6 +258,8 @@
             self._strike(s)
         elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent and not tx.counted:
             self._strike(s)
+        # Danger: one out from each of hundreds of nodes is a crowd for one server.
+        s.rest_until = now + max(took, s.latency) * (1 / min(s.limit, 1.0) - 1) * (0.5 + self._chance())
         if s.first or s.again:
             self.freed.append(s)
         rpc.missed |= outcome == Outcome.MISS
@@ -295,7 +290,6 @@
     # ---- decisions, one a call
 
     def decide(self, now: float, host: Host) -> bool:
-        """Hand the next decision to the host; False when there is none."""
         self.now = now
         self._due()
         while self.retract:
@@ -338,6 +332,8 @@
                 if rpc.line and rpc.line <= now and not rpc.closed:
                     rpc.line, rpc.lost = 0.0, True
                     self.todo.append(rpc)
+                elif rpc.queued:
+                    self.freed.append(rpc.queued)
             elif not tx.done and not tx.counted and tx.server.answered_at < tx.sent:
                 # Danger: a server that takes work and answers none looks idle. Silence since the send counts;
                 # but all that is out at a busy server is late at once: sends before a strike tell no more.
@@ -370,23 +366,23 @@
             if rpc.write or rpc.missed or (tries and tries == self.max_txs - 1):
                 return self._offer(rpc, self.origin, host)
         s = rpc.bucket.at
-        if tries or s is None or not s.ok or len(s.live) >= int(s.limit):
+        if tries or s is None or not s.ok or not self._room(s):
             s = self._along(rpc)
         return self._offer(rpc, s, host)
 
-    def _offer(self, rpc: Rpc, s: Server | None, host: Host) -> bool:
-        """Send to this server, or stand in its line, or give up."""
+    def _offer(self, rpc: Rpc, s: Server | None, host: Host) -> bool:  # send, stand in line or give up
         if s is None or s.state != State.READY or not self._may_send(rpc, s):
             return self._give_up(rpc, host)
-        if rpc.over and 2 * len(s.live) >= s.limit:  # Danger: a customer over its share crowds the others out
+        if rpc.over and (2 * len(s.live) >= s.limit or s.limit < 1):  # Danger: it crowds the others out
             return self._give_up(rpc, host)
-        if len(s.live) < int(s.limit) and not s.first and not s.again:
+        if not s.first and not s.again and self._room(s):
             self._send(rpc, s, host)
             return True
         left = min(rpc.until, rpc.aim) - self.now
         heapq.heappush(s.again if rpc.txs else s.first, (rpc.over, -rpc.method.gain, rpc.n, rpc))
         self._wait(rpc, min(WAIT * left, left - s.latency))
-        self.freed.append(s)
+        rpc.queued = s
+        heapq.heappush(self.wakes, (max(s.rest_until, self.now), self._count(), rpc, None))
         room = max(1.0, s.limit * WAIT * rpc.method.soft_ms / max(s.latency, 1.0))
         if len(s.first) + len(s.again) > room:
             # Danger: a line longer than can be served in time makes everyone late; its last goes at once.
@@ -480,7 +476,7 @@
                     continue
                 s.off_until = now + s.backoff
                 return s
-            if len(s.live) < int(s.limit):
+            if self._room(s):
                 return s
             if busy is None:
                 busy = s
@@ -489,7 +485,9 @@
         return busy
 
     def _room(self, s: Server) -> bool:
-        return len(s.live) < int(s.limit) and (self.now >= s.cold_until or self._cold_room(s))
+        """A limit under one is kept by rests: one transmission is out for that part of the time."""
+        free = len(s.live) < max(1, int(s.limit)) and (s.limit >= 1 or self.now >= s.rest_until)
+        return free and (self.now >= s.cold_until or self._cold_room(s))
 
     def _cold_room(self, s: Server) -> bool:
         """Rule 4. Danger: a cold server is pushed over for good. In any window it gets, from this node alone,
@@ -523,15 +521,15 @@
         if full_work:
             s.latency += (took - s.latency) * (0.1 if s.latency else 1.0)
         if took > TARGET * tx.rpc.method.soft_ms:
-            s.limit, s.growth = max(1.0, s.limit * 0.9), 0.25
+            s.limit, s.growth = max(LEAST if s is self.origin else 1.0, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
-            s.limit += s.growth / s.limit
+            s.limit += s.growth * min(s.limit, 1 / s.limit)
 
     def _strike(self, s: Server) -> None:
-        s.failures, s.struck_at = s.failures + 1, self.now
-        if s is self.origin:
-            s.limit = max(1.0, s.limit * 0.8)  # there is no other: it is asked less, never left
+        if s is self.origin:  # there is no other: it is asked less, never left
+            s.limit = max(LEAST, s.limit * (0.8 if s.live else 0.5))
             return
+        s.failures, s.struck_at = s.failures + 1, self.now
         if s.failures >= STRIKES and (not s.off or self.now >= s.off_until):
             if not s.off:
                 self._tell(f"{s.id} off the path after {s.failures} failures in a row")
@@ -616,7 +614,8 @@
         self.next_beat = self.now + self.window
         self.pressure = max(self.turned / self.asked, self.pressure / 2)
         # Danger: what is over a share is let in by all nodes at once when the servers have just caught up.
-        self.spare = self.spare / 4 if self.pressure > self.overage_gain else min(1.0, self.spare + SPARE_STEP)
+        calm = self.pressure <= self.overage_gain
+        self.spare = min(1.0, self.spare + SPARE_STEP) if calm else self.spare / 4
         self.asked, self.turned = 1, 0
         for s in self.servers.values():
             s.rate, s.sent = s.rate / 2 + s.sent * 500 / span, 0
@@ -630,8 +629,8 @@
 
     def _round(self) -> None:
         """The mechanism's round over caches heard and warm; the others count at the mean."""
-        # Danger: hundreds of nodes each move keys on a few answers' noise, and every cache misses them. A cache
-        # takes part once it has answered this node often enough since a bucket last came or went.
+        # Danger: hundreds of nodes each move keys on a few answers' noise, and every cache misses them. A
+        # cache takes part once it has answered this node often enough since a bucket last came or went.
         heard = (s for s in self.servers.values() if s.ok and s.heard >= EVIDENCE and s is not self.origin)
         held: dict[Server, list[Bucket]] = {s: [] for s in heard}
         if len(self.young) >= KEYS_KEPT or self.now >= self.aged_at + AGE * ROUND_MS:
