Close idle connections where tariffs make them dear; spread the first list calls

Cause: 282 nodes each kept a connection to each of 40 cache boxes, which take about a hundred: full after 10 s, then 4,000 refused connects in 5 s, each 250 ms and a strike, good boxes left by the dozen, keys asked elsewhere, the ledger flooded. Told from a slow ledger by the order: connects were refused from second 5, the ledger's time-outs followed.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -49,6 +49,7 @@
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
         self.answered_at = self.struck_at = self.rest_until = -FAR
         self.started, self.cold_until, self.window = -FAR, -FAR, deque[float]()
+        self.open, self.last = False, -FAR  # a connection; the latest send
         self.sent, self.rate, self.load = 0, 0.0, -1.0  # load: as reported, averaged; -1 where it is not
         self.first, self.again = list[Place](), list[Place]()  # lines; further transmissions have their own
         self.c, self.m, self.points, self.heard = 0.0, 0.0, 0, 0  # the mechanism's loads; points on the ring
@@ -156,10 +157,16 @@
         self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
         self.ask_within, self.ask_backoff = d.ask_within_ms or 10000.0, 0.0
-        self.ask_at = now if d.must_ask else FAR
+        # Danger: hundreds of nodes that start together ask discovery at once; it turns nearly all away.
+        spread = self.ask_within / 2 * (1 - 1 / max(1, d.nodes))
+        self.ask_at = now + spread * self._chance() if d.must_ask else FAR
+        # The tariff counts connections by the hundred: one pays while a hundredth of its server's RPCs are
+        # ours, and a server has about two RPCs in the time that one takes.
+        self.idle = 50 * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR  # in latencies
         self.servers: dict[str, Server] = {}
         self.buckets: dict[int, Bucket] = {}  # those asked for so far
         self.ring = array("Q")  # a point in the upper bits, a cache's place in `caches` in the lower sixteen
+        self.closing = deque[Server]()
         self.caches, self.freed = list[Server](), deque[Server]()  # caches: all on the ring, ready or not
         self.rpcs: dict[str, Rpc] = {}
         self.fetches: dict[str, tuple[Rpc, list[Rpc]]] = {}  # key -> who fetches it, who waits for that
@@ -297,6 +304,11 @@
             if not tx.done and self.cancelling:
                 host.cancel(tx.rpc.id, tx.n)
                 return True
+        while self.closing:
+            s = self.closing.popleft()
+            if not s.live:
+                host.close(s.id)
+                return True
         while self.todo:
             rpc = self.todo.popleft()
             if not rpc.closed and not rpc.line and not rpc.live and self._route(rpc, host):
@@ -415,7 +427,7 @@
         rpc.txs.append(tx)
         rpc.live += 1
         s.live[tx] = None
-        s.sent += 1
+        s.sent, s.open, s.last = s.sent + 1, True, now
         if now < s.cold_until:
             s.window.append(now)
         patience = max(PATIENCE * rpc.method.soft_ms, 2 * s.latency)
@@ -622,6 +634,10 @@
             for line in (s.first, s.again):
                 if line:  # Danger: a line of RPCs that have long had their answer
                     line[:] = sorted(place for place in line if place[3].line)
+            if s.open and not s.live and self.now - s.last > self.idle * s.latency:
+                # Danger: each of hundreds of nodes keeps a connection to each server, whose table is full.
+                s.open = False
+                self.closing.append(s)
             if s.state == State.READY and not s.off:
                 s.ok = self.now >= s.cold_until
         warm = [s for s in self.servers.values() if s.ok and s is not self.origin]
--- a/hookpitch/simwire/adapter.py
+++ b/hookpitch/simwire/adapter.py
@@ -38,6 +38,9 @@
     def error(self, rpc_id: str) -> None:
         self.out.append(f"LOSE {self.name} {rpc_id}")
 
+    def close(self, server_id: str) -> None:
+        self.out.append(f"SHUT_IDLE {self.name} {server_id}")
+
     def watch(self) -> None:
         self.out.append(f"SUBSCRIBE {self.name} 1")
 
--- a/hookpitch/simwire/codec.py
+++ b/hookpitch/simwire/codec.py
@@ -102,7 +102,7 @@
         value = table.get(name)
         return default if value is None else float(value) * 1000
 
-    limits, rules = top.get("limits") or {}, top.get("rules") or {}
+    limits, rules, tariffs = (top.get(name) or {} for name in ("limits", "rules", "tariffs"))
     family = top.get("family_info") or {}
     methods = []
     for m in need(top, "methods", ""):
@@ -145,5 +145,7 @@
         cold_ms=span(rules, "cold_s"),
         overload_factor=float(rules.get("overload_factor") or 1.0),
         tip_after_ms=span(rules, "tip_after_s"),
+        hold_cost=float(tariffs.get("connection") or 0.0),
+        dial_cost=float(tariffs.get("handshake") or 0.0),
         overage_gain=float(top.get("overage_gain") or 0.0),
     ), kinds
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -39,6 +39,8 @@
         "cold_ms": 20000.0,
         "overload_factor": 3.0,
         "tip_after_ms": 1500.0,
+        "hold_cost": 0.0,
+        "dial_cost": 0.0,
         "overage_gain": 0.1,
     }
     return Deployment(**(base | changes))  # type: ignore[arg-type]
@@ -165,6 +167,9 @@
     def error(self, rpc_id: str) -> None:
         self._final(rpc_id, "errored")
 
+    def close(self, server_id: str) -> None:
+        assert server_id in self.told and all(self.txs[r][n]["server"] != server_id for r, n in self.out)
+
     def watch(self) -> None:
         self.asked += 1
 
