--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -162,7 +162,7 @@
         self.ask_at = now + spread * self._chance() if d.must_ask else FAR
         # The tariff counts connections by the hundred: one pays while a hundredth of its server's RPCs are
         # ours, and a server has about two RPCs in the time that one takes.
-        self.idle = 50 * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR  # in latencies
+        self.idle = 25 * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR  # in latencies
         self.servers: dict[str, Server] = {}
         self.buckets: dict[int, Bucket] = {}  # those asked for so far
         self.ring = array("Q")  # a point in the upper bits, a cache's place in `caches` in the lower sixteen
