--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -257,7 +257,7 @@
             self._answered(tx, took, outcome == Outcome.COMPLETED)
         elif outcome == Outcome.FULL:
             s.answered_at = now
-            s.limit = max(LEAST, min(s.limit, 0.8 * (len(s.live) + 1)) if s.live else s.limit / 2)
+            s.limit = max(1.0, min(s.limit, 0.8 * (len(s.live) + 1)))
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
             if outcome != Outcome.ERROR and s.started < tx.sent:
                 # Danger: a server refusing connections died, and comes back cold, maybe unannounced.
@@ -533,7 +533,7 @@
         if full_work:
             s.latency += (took - s.latency) * (0.1 if s.latency else 1.0)
         if took > TARGET * tx.rpc.method.soft_ms:
-            s.limit, s.growth = max(LEAST, s.limit * 0.9), 0.25
+            s.limit, s.growth = max(LEAST if s is self.origin else 1.0, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
             s.limit += s.growth * min(s.limit, 1 / s.limit)
 
