Cold budget as tokens, the first due at a drawn time

Cause: each node sent a cold server one RPC a window at least, 289 nodes together over four times what it could do. Now the budget of a window accrues as tokens, with a drawn part of one at the start, so that the sum over nodes is the budget. One refused connection no longer makes a server cold: it tells of a full table as well.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -48,7 +48,8 @@
         self.limit, self.growth, self.latency = START_LIMIT, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
         self.answered_at = self.struck_at = self.rest_until = -FAR
-        self.started, self.cold_until, self.window = -FAR, -FAR, deque[float]()
+        self.started = self.cold_until = -FAR
+        self.tokens = self.refilled = 0.0  # for its time as a cold server
         self.open, self.last = False, -FAR  # a connection; the latest send
         self.sent, self.rate, self.load = 0, 0.0, -1.0  # load: as reported, averaged; -1 where it is not
         self.first, self.again = list[Place](), list[Place]()  # lines; further transmissions have their own
@@ -160,9 +161,7 @@
         # Danger: hundreds of nodes that start together ask discovery at once; it turns nearly all away.
         spread = self.ask_within / 2 * (1 - 1 / max(1, d.nodes))
         self.ask_at = now + spread * self._chance() if d.must_ask else FAR
-        # The tariff counts connections by the hundred: one pays while a hundredth of its server's RPCs are
-        # ours, and a server has about two RPCs in the time that one takes.
-        self.idle = 25 * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR  # in latencies
+        self.idle = 2 * self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
         self.servers: dict[str, Server] = {}
         self.buckets: dict[int, Bucket] = {}  # those asked for so far
         self.ring = array("Q")  # a point in the upper bits, a cache's place in `caches` in the lower sixteen
@@ -198,7 +197,8 @@
             if e.state == State.READY and started > s.started:
                 self._leave(s, True)
                 s.started, s.failures, s.off, s.limit = started, 0, False, START_LIMIT
-                s.answered_at, s.cold_until = -FAR, started + self.cold_ms
+                s.answered_at = -FAR
+                self._cool(s, started)
             changed |= s.state != e.state
             if e.state == State.READY and (not s.points or s.size != max(e.size, 1e-3)):
                 changed = True
@@ -259,9 +259,10 @@
             s.answered_at = now
             s.limit = max(1.0, min(s.limit, 0.8 * (len(s.live) + 1)))
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
-            if outcome != Outcome.ERROR and s.started < tx.sent:
-                # Danger: a server refusing connections died, and comes back cold, maybe unannounced.
-                s.cold_until = now + self.cold_ms
+            if outcome != Outcome.ERROR and s.failures and s.started < tx.sent:
+                # Danger: a server refusing connections died, and comes back cold, maybe unannounced. One
+                # refusal tells no more than that its table of connections was full.
+                self._cool(s, now)
             self._strike(s)
         elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent and not tx.counted:
             self._strike(s)
@@ -428,8 +429,7 @@
         rpc.live += 1
         s.live[tx] = None
         s.sent, s.open, s.last = s.sent + 1, True, now
-        if now < s.cold_until:
-            s.window.append(now)
+        s.tokens -= now < s.cold_until
         patience = max(PATIENCE * rpc.method.soft_ms, 2 * s.latency)
         heapq.heappush(self.wakes, (now + patience, self._count(), rpc, tx))
         host.send(rpc.id, s.id, rpc.until - now)
@@ -502,14 +502,14 @@
         return free and (self.now >= s.cold_until or self._cold_room(s))
 
     def _cold_room(self, s: Server) -> bool:
-        """Rule 4. Danger: a cold server is pushed over for good. In any window it gets, from this node alone,
-        at most what a warm server of its size gets, cut by the slowest warm-up."""
-        w = s.window
-        while w and w[0] <= self.now - self.window:
-            w.popleft()
+        """Rule 4. Danger: a cold server is pushed over for good, by one RPC from each of hundreds of nodes as
+        well as by many from one. It gets what a warm server of its size gets from this node, cut by the
+        slowest warm-up, as tokens; the first is due at a drawn time, so that nodes do not come together."""
         grown = max(0.0, 1 - (s.cold_until - self.now) / self.cold_ms) if self.cold_ms else 1.0
         share = self.cold_share + (1 - self.cold_share) * grown
-        return len(w) < max(1.0, share * self.warm_rate * s.size * self.window / 1000)
+        gain = (self.now - s.refilled) * share * self.warm_rate * s.size / 1000
+        s.tokens, s.refilled = min(max(1.0, s.tokens), s.tokens + gain), self.now
+        return s.tokens >= 1
 
     def _chain(self, bucket: Bucket) -> list[Server]:
         if bucket.chain is None:
@@ -550,6 +550,11 @@
             s.off_until = self.now + s.backoff
             self._leave(s, True)
 
+    def _cool(self, s: Server, since: float) -> None:
+        if self.now >= s.cold_until:
+            s.tokens, s.refilled = self._chance(), self.now
+        s.cold_until = since + self.cold_ms
+
     def _abandon(self, tx: Tx) -> None:  # call it off where another server may still answer in time
         rpc = tx.rpc
         elsewhere = not rpc.closed and tx.server is not self.origin and len(rpc.txs) < self.max_txs
@@ -634,7 +639,7 @@
             for line in (s.first, s.again):
                 if line:  # Danger: a line of RPCs that have long had their answer
                     line[:] = sorted(place for place in line if place[3].line)
-            if s.open and not s.live and self.now - s.last > self.idle * s.latency:
+            if s.open and not s.live and self.now - s.last > self.idle:
                 # Danger: each of hundreds of nodes keeps a connection to each server, whose table is full.
                 s.open = False
                 self.closing.append(s)
