--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -161,7 +161,7 @@
         # Danger: hundreds of nodes that start together ask discovery at once; it turns nearly all away.
         spread = self.ask_within / 2 * (1 - 1 / max(1, d.nodes))
         self.ask_at = now + spread * self._chance() if d.must_ask else FAR
-        self.idle = 2 * self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
+        self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
         self.servers: dict[str, Server] = {}
         self.buckets: dict[int, Bucket] = {}  # those asked for so far
         self.ring = array("Q")  # a point in the upper bits, a cache's place in `caches` in the lower sixteen
