--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -396,16 +396,6 @@
         self._wait(rpc, min(WAIT * left, left - s.latency))
         rpc.queued = s
         heapq.heappush(self.wakes, (max(s.rest_until, self.now), self._count(), rpc, None))
-        room = max(1.0, s.limit * WAIT * rpc.method.soft_ms / max(s.latency, 1.0))
-        if len(s.first) + len(s.again) > room:
-            # Danger: a line longer than can be served in time makes everyone late; its last goes at once.
-            line = s.again or s.first
-            worst = max(line)
-            line.remove(worst)
-            heapq.heapify(line)
-            if worst[3].line:
-                worst[3].line, worst[3].lost = 0.0, True
-                self.todo.append(worst[3])
         return False
 
     def _wait(self, rpc: Rpc, span: float) -> None:
