--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -392,6 +392,11 @@
             self._send(rpc, s, host)
             return True
         left = min(rpc.until, rpc.aim) - self.now
+        room = max(1.0, s.limit * WAIT * rpc.method.soft_ms / max(s.latency, 1.0))
+        if len(s.first) + len(s.again) >= room:
+            # Danger: a line longer than can be served in time makes everyone late.
+            rpc.lost = True
+            return self._give_up(rpc, host)
         heapq.heappush(s.again if rpc.txs else s.first, (rpc.over, -rpc.method.gain, rpc.n, rpc))
         self._wait(rpc, min(WAIT * left, left - s.latency))
         rpc.queued = s
