--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -47,8 +47,7 @@
         self.live: dict[Tx, None] = {}  # transmissions out, oldest first
         self.limit, self.growth, self.latency = START_LIMIT, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
-        self.answered_at = self.struck_at = self.rest_until = -FAR
-        self.started = self.cold_until = -FAR
+        self.answered_at = self.struck_at = self.rest_until = self.started = self.cold_until = -FAR
         self.tokens = self.refilled = 0.0  # for its time as a cold server
         self.open, self.last = False, -FAR  # a connection; the latest send
         self.sent, self.rate, self.load = 0, 0.0, -1.0  # load: as reported, averaged; -1 where it is not
@@ -75,11 +74,10 @@
 class Rpc:
     def __init__(self, n: int, id: str, key: str, bucket: Bucket, method: Method, write: bool) -> None:
         self.n, self.id, self.key, self.bucket, self.method, self.write = n, id, key, bucket, method, write
-        self.until = self.aim = 0.0
+        self.until = self.aim = self.line = 0.0  # line: when its stay in one is over; 0 when in none
         self.share: Share | None = None  # whose token it holds until it is completed
         self.over = self.missed = self.closed = self.lost = False
         self.txs, self.live = list[Tx](), 0
-        self.line = 0.0  # when its stay in a line is over; 0 when in none
         self.queued: Server | None = None  # in whose line
 
 
@@ -144,17 +142,14 @@
     return moves
 
 
-class Node:
-    """One instance: it shares nothing with any other."""
-
+class Node:  # one instance: it shares nothing with any other
     def __init__(self, now: float, d: Deployment) -> None:
         self.now, self.seed, self.draws, self.methods = now, d.seed, 0, {m.name: m for m in d.methods}
         part = 1000.0 * max(1, d.nodes)  # of a quota a second over all nodes, to this node's a millisecond
         self.shares = {c.name: Share(c.quota_per_s / part, now) for c in d.customers if c.quota_per_s > 0}
         self.origin_kind, self.origin = d.origin_kind, None
         self.max_txs, self.cancelling = d.max_transmissions or 1, d.cancelling
-        self.retry_after = d.max_retry_after_ms
-        self.tick, self.margin = d.tick_ms or 1.0, 2 * d.tick_ms + 1
+        self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
         self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
         self.ask_within, self.ask_backoff = d.ask_within_ms or 10000.0, 0.0
@@ -162,13 +157,11 @@
         spread = self.ask_within / 2 * (1 - 1 / max(1, d.nodes))
         self.ask_at = now + spread * self._chance() if d.must_ask else FAR
         self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
-        self.servers: dict[str, Server] = {}
+        self.servers, self.rpcs = dict[str, Server](), dict[str, Rpc]()
         self.buckets: dict[int, Bucket] = {}  # those asked for so far
         self.ring = array("Q")  # a point in the upper bits, a cache's place in `caches` in the lower sixteen
-        self.closing = deque[Server]()
-        self.caches, self.freed = list[Server](), deque[Server]()  # caches: all on the ring, ready or not
-        self.rpcs: dict[str, Rpc] = {}
-        self.fetches: dict[str, tuple[Rpc, list[Rpc]]] = {}  # key -> who fetches it, who waits for that
+        self.caches = list[Server]()  # all on the ring, ready or not
+        self.closing, self.freed = deque[Server](), deque[Server]()
         self.young, self.old = dict[str, None](), dict[str, None]()  # keys asked for, in two generations
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
         self.armed, self.aged_at, self.points_per_size = FAR, now, 0.0
@@ -189,28 +182,24 @@
             return self._tell("discovery lost, asking again")
         if kind != ListKind.CACHED and self.ask_at < FAR:
             self.ask_backoff, self.ask_at = 0.0, FAR
-        listed, changed, resized = dict[str, None](), False, list[Server]()
+        listed, changed, resized = {e.id for e in entries}, False, list[Server]()
         for e in entries:
-            listed[e.id] = None
             s = self.servers.get(e.id) or self.servers.setdefault(e.id, Server(e.id))
             started = e.started_ms if e.started_ms > 0 else -FAR
             if e.state == State.READY and started > s.started:
                 self._leave(s, True)
-                s.started, s.failures, s.off, s.limit = started, 0, False, START_LIMIT
-                s.answered_at = -FAR
+                s.started, s.failures, s.off, s.limit, s.answered_at = started, 0, False, START_LIMIT, -FAR
                 self._cool(s, started)
             changed |= s.state != e.state
             if e.state == State.READY and (not s.points or s.size != max(e.size, 1e-3)):
-                changed = True
                 resized.append(s)
             s.zone, s.cell, s.size, s.kind = e.zone, e.cell, max(e.size, 1e-3), e.kind
             self._state(s, e.state)
-        if kind != ListKind.DELTA:
-            for s in self.servers.values():
-                if s.id not in listed and s.state != State.GONE:
-                    changed = True
-                    self._state(s, State.GONE)
-        if changed:
+        for s in self.servers.values() if kind != ListKind.DELTA else ():
+            if s.id not in listed and s.state != State.GONE:
+                changed = True
+                self._state(s, State.GONE)
+        if changed or resized:
             self._rebuild(resized)
 
     def rpc_arrived(self, now: float, id: str, key: str, method: str, customer: str, write: bool,
@@ -257,7 +246,7 @@
             self._answered(tx, took, outcome == Outcome.COMPLETED)
         elif outcome == Outcome.FULL:
             s.answered_at = now
-            s.limit = max(1.0, min(s.limit, 0.8 * (len(s.live) + 1)))
+            s.limit = max(min(s.limit, 1.0), min(s.limit, 0.8 * (len(s.live) + 1)))
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
             if outcome != Outcome.ERROR and s.failures and s.started < tx.sent:
                 # Danger: a server refusing connections died, and comes back cold, maybe unannounced. One
@@ -271,8 +260,7 @@
         if s.first or s.again:
             self.freed.append(s)
         rpc.missed |= outcome == Outcome.MISS
-        if outcome == Outcome.COMPLETED:
-            rpc.share = None
+        rpc.share = None if outcome == Outcome.COMPLETED else rpc.share
         if last or rpc.closed:
             self._close(rpc)
         else:
@@ -305,11 +293,9 @@
             if not tx.done and self.cancelling:
                 host.cancel(tx.rpc.id, tx.n)
                 return True
-        while self.closing:
-            s = self.closing.popleft()
-            if not s.live:
-                host.close(s.id)
-                return True
+        if self.closing:  # by the latest beat; nothing was sent since
+            host.close(self.closing.popleft().id)
+            return True
         while self.todo:
             rpc = self.todo.popleft()
             if not rpc.closed and not rpc.line and not rpc.live and self._route(rpc, host):
@@ -333,7 +319,7 @@
         # Danger: a wake late, or rounded to just before its time, must cost no RPC its answer.
         if due < self.armed - self.tick / 4 or self.armed <= now + self.tick / 4:
             self.armed = due
-            host.wake(self.armed)
+            host.wake(due)
             return True
         return False
 
@@ -361,23 +347,12 @@
             self.next_round = now + ROUND_MS
             self._round()
 
-    def _route(self, rpc: Rpc, host: Host) -> bool:
-        """Send, queue or give up one RPC; True where the host was told something."""
+    def _route(self, rpc: Rpc, host: Host) -> bool:  # True where the host was told something
         now, tries = self.now, len(rpc.txs)
         if rpc.lost or tries >= self.max_txs or rpc.until - now <= self.margin:
             return self._give_up(rpc, host)
-        if self.origin_kind >= 0:
-            if rpc.key and not rpc.write:
-                fetch = self.fetches.get(rpc.key)
-                if fetch is not None and fetch[0] is not rpc:
-                    # Danger: all misses of one key are fetched from the small origin. One is, the rest wait.
-                    fetch[1].append(rpc)
-                    self._wait(rpc, rpc.until - now)
-                    return False
-                if rpc.missed and fetch is None:
-                    self.fetches[rpc.key] = (rpc, [])
-            if rpc.write or rpc.missed or (tries and tries == self.max_txs - 1):
-                return self._offer(rpc, self.origin, host)
+        if self.origin_kind >= 0 and (rpc.write or rpc.missed or (tries and tries == self.max_txs - 1)):
+            return self._offer(rpc, self.origin, host)
         s = rpc.bucket.at
         if tries or s is None or not s.ok or not self._room(s):
             s = self._along(rpc)
@@ -392,30 +367,30 @@
             self._send(rpc, s, host)
             return True
         left = min(rpc.until, rpc.aim) - self.now
-        room = max(1.0, s.limit * WAIT * rpc.method.soft_ms / max(s.latency, 1.0))
-        if len(s.first) + len(s.again) >= room:
-            # Danger: a line longer than can be served in time makes everyone late.
-            rpc.lost = True
-            return self._give_up(rpc, host)
         heapq.heappush(s.again if rpc.txs else s.first, (rpc.over, -rpc.method.gain, rpc.n, rpc))
-        self._wait(rpc, min(WAIT * left, left - s.latency))
-        rpc.queued = s
-        heapq.heappush(self.wakes, (max(s.rest_until, self.now), self._count(), rpc, None))
+        rpc.queued, rpc.line = s, self.now + max(0.0, min(WAIT * left, left - s.latency))
+        for at in (rpc.line, max(s.rest_until, self.now)):
+            heapq.heappush(self.wakes, (at, self._count(), rpc, None))
+        room = max(1.0, s.limit * WAIT * rpc.method.soft_ms / max(s.latency, 1.0))
+        if len(s.first) + len(s.again) > room:
+            # Danger: a line longer than can be served in time makes everyone late; its last goes at once.
+            line = s.again or s.first
+            worst = max(line)
+            line.remove(worst)
+            heapq.heapify(line)
+            if worst[3].line:
+                worst[3].line, worst[3].lost = 0.0, True
+                self.todo.append(worst[3])
         return False
 
-    def _wait(self, rpc: Rpc, span: float) -> None:
-        rpc.line = self.now + max(span, 0.0)
-        heapq.heappush(self.wakes, (rpc.line, self._count(), rpc, None))
-
     def _next_in_line(self, s: Server) -> Rpc | None:
-        for line in (s.first, s.again):
-            while line:
-                rpc = heapq.heappop(line)[3]
-                if rpc.line and not rpc.closed:
-                    rpc.line = 0.0
-                    if self._may_send(rpc, s) and s.state == State.READY:
-                        return rpc
-                    self.todo.append(rpc)
+        while s.first or s.again:
+            rpc = heapq.heappop(s.first or s.again)[3]
+            if rpc.line and not rpc.closed:
+                rpc.line = 0.0
+                if self._may_send(rpc, s) and s.state == State.READY:
+                    return rpc
+                self.todo.append(rpc)
         return None
 
     def _send(self, rpc: Rpc, s: Server, host: Host) -> None:
@@ -452,24 +427,15 @@
         return True
 
     def _close(self, rpc: Rpc) -> None:
-        """The RPC has its answer; its record goes when its last transmission has ended."""
         rpc.closed, rpc.line = True, 0.0
         if rpc.share:  # Danger: a client's tries for one RPC use its customer's share up several times over.
             rpc.share.tokens += 1
-        fetch = self.fetches.get(rpc.key)
-        if fetch is not None and fetch[0] is rpc:
-            del self.fetches[rpc.key]
-            for waiter in fetch[1]:
-                if waiter.line and not waiter.closed:
-                    waiter.line, waiter.missed = 0.0, False
-                    self.todo.append(waiter)
         if not rpc.live:
             self.rpcs.pop(rpc.id, None)
 
     # ---- off the ordinary path: along the ring
 
-    def _along(self, rpc: Rpc) -> Server | None:
-        """The first fit server from the bucket's place on; else a busy one whose line to stand in."""
+    def _along(self, rpc: Rpc) -> Server | None:  # the first fit server; else one whose line to stand in
         now, busy = self.now, None
         crowded = self.origin and (self.origin.again or 2 * len(self.origin.live) >= self.origin.limit)
         for s in self._chain(rpc.bucket):
@@ -485,14 +451,13 @@
                 return s
             if self._room(s):
                 return s
-            if busy is None:
-                busy = s
-                if crowded:  # Danger: going on means a miss, and misses flood the origin.
-                    return s
+            if crowded:  # Danger: going on means a miss, and misses flood the origin.
+                return s
+            busy = busy or s
         return busy
 
     def _room(self, s: Server) -> bool:
-        """A limit under one is kept by rests: one transmission is out for that part of the time."""
+        # A limit under one is kept by rests: one transmission is out for that part of the time.
         free = len(s.live) < max(1, int(s.limit)) and (s.limit >= 1 or self.now >= s.rest_until)
         return free and (self.now >= s.cold_until or self._cold_room(s))
 
@@ -556,8 +521,7 @@
         if elsewhere and rpc.method.idempotency != Idempotency.NON_RETRIABLE:
             self.retract.append(tx)
 
-    def _leave(self, s: Server, dead: bool) -> None:
-        """What is in line at a server off the path, and what is out at a dead one, is decided anew."""
+    def _leave(self, s: Server, dead: bool) -> None:  # its line, and all that is out, is decided anew
         for tx in s.live if dead else ():
             self._abandon(tx)
         for _, _, _, rpc in s.first + s.again:
@@ -574,8 +538,7 @@
         s.state = state
         s.ok = state == State.READY and not s.off and self.now >= s.cold_until
 
-    def _rebuild(self, resized: list[Server]) -> None:
-        """The ring over ready caches; points go by listed size and by nothing that other servers change."""
+    def _rebuild(self, resized: list[Server]) -> None:  # the ring; points go by listed size alone
         ready = [s for s in self.servers.values() if s.state == State.READY]
         if self.origin not in ready:
             self.origin = next((s for s in ready if s.kind == self.origin_kind), self.origin)
@@ -584,17 +547,15 @@
             self.points_per_size = RING_POINTS * len(resized) / sum(s.size for s in resized)
         # Danger: a large ring made anew by hundreds of nodes at each change of the list. Caches not ready
         # stay on it and are passed over, until most are gone; new points are sorted into the sorted ones.
-        if 2 * sum(s.state == State.GONE for s in self.caches) > len(self.caches):
+        gone = sum(s.state == State.GONE for s in self.caches)
+        if 2 * gone > len(self.caches) or any(s.points for s in resized):
             for s in self.caches:
                 s.points = 0
             self.caches, self.ring, resized = [], array("Q"), [s for s in ready if s.kind != self.origin_kind]
         ring = list(self.ring) if resized else []
         for s in resized:
-            if s.points:
-                ring = [p for p in ring if self.caches[p & 0xFFFF] is not s]
-            else:
-                self.caches.append(s)
-            s.points, n = int(min(8 * RING_POINTS, 8 + self.points_per_size * s.size)), self.caches.index(s)
+            s.points, n = int(min(8 * RING_POINTS, 8 + self.points_per_size * s.size)), len(self.caches)
+            self.caches.append(s)
             ring += [p << 16 | n for p in array("I", shake_128(s.id.encode()).digest(4 * s.points))]
         if resized:
             self.ring = array("Q", sorted(ring))
@@ -643,8 +604,7 @@
         warm = [s for s in self.servers.values() if s.ok and s is not self.origin]
         self.warm_rate = sum(s.rate for s in warm) / sum(s.size for s in warm) if warm else self.warm_rate
 
-    def _round(self) -> None:
-        """The mechanism's round over caches heard and warm; the others count at the mean."""
+    def _round(self) -> None:  # the mechanism's, over caches heard and warm; others count at the mean
         # Danger: hundreds of nodes each move keys on a few answers' noise, and every cache misses them. A
         # cache takes part once it has answered this node often enough since a bucket last came or went.
         heard = (s for s in self.servers.values() if s.ok and s.heard >= EVIDENCE and s is not self.origin)
