--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -34,7 +34,8 @@
 START_LIMIT = 2.0  # transmissions out at a server we know nothing of, or that is back on the path
 SAVED = 12.0  # RPCs of a share that a node may save up, however small its part of the quota
 SPARE_STEP = 1 / 16  # more of what is over a share is let in after each calm window
-LEAST = 1 / 64  # the lowest limit
+ORIGIN_START = 32.0  # transmissions out at the origin at the start, over all nodes
+LEAST = 1 / 64  # the lowest limit of the origin
 STRIKES = 3  # failures in a row that take a server off the path
 FAR = float("inf")
 WAITED = (Outcome.COMPLETED, Outcome.MISS, Outcome.TIMEOUT)
@@ -45,7 +46,7 @@
     def __init__(self, id: str) -> None:
         self.id, self.state, self.zone, self.cell, self.size, self.kind = id, State.GONE, "", 0, 1.0, 0
         self.live: dict[Tx, None] = {}  # transmissions out, oldest first
-        self.limit, self.growth, self.latency = START_LIMIT, 1.0, 0.0
+        self.limit, self.least, self.growth, self.latency = START_LIMIT, 1.0, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
         self.answered_at = self.struck_at = self.rest_until = self.started = self.cold_until = -FAR
         self.tokens = self.refilled = 0.0  # for its time as a cold server
@@ -145,6 +146,7 @@
 class Node:  # one instance: it shares nothing with any other
     def __init__(self, now: float, d: Deployment) -> None:
         self.now, self.seed, self.draws, self.methods = now, d.seed, 0, {m.name: m for m in d.methods}
+        self.nodes = d.nodes
         part = 1000.0 * max(1, d.nodes)  # of a quota a second over all nodes, to this node's a millisecond
         self.shares = {c.name: Share(c.quota_per_s / part, now) for c in d.customers if c.quota_per_s > 0}
         self.origin_kind, self.origin = d.origin_kind, None
@@ -188,12 +190,15 @@
             started = e.started_ms if e.started_ms > 0 else -FAR
             if e.state == State.READY and started > s.started:
                 self._leave(s, True)
-                s.started, s.failures, s.off, s.limit, s.answered_at = started, 0, False, START_LIMIT, -FAR
+                s.started, s.failures, s.off, s.answered_at = started, 0, False, -FAR
+                s.limit = min(s.limit, START_LIMIT)
                 self._cool(s, started)
             changed |= s.state != e.state
             if e.state == State.READY and (not s.points or s.size != max(e.size, 1e-3)):
                 resized.append(s)
             s.zone, s.cell, s.size, s.kind = e.zone, e.cell, max(e.size, 1e-3), e.kind
+            if e.kind == self.origin_kind and s.least == 1.0:
+                s.least, s.limit = LEAST, min(START_LIMIT, ORIGIN_START / max(1, self.nodes))
             self._state(s, e.state)
         for s in self.servers.values() if kind != ListKind.DELTA else ():
             if s.id not in listed and s.state != State.GONE:
@@ -246,7 +251,7 @@
             self._answered(tx, took, outcome == Outcome.COMPLETED)
         elif outcome == Outcome.FULL:
             s.answered_at = now
-            s.limit = max(min(s.limit, 1.0), min(s.limit, 0.8 * (len(s.live) + 1)))
+            s.limit = max(s.least, min(s.limit, 0.8 * (len(s.live) + 1)) if s.live else s.limit / 2)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
             if outcome != Outcome.ERROR and s.failures and s.started < tx.sent:
                 # Danger: a server refusing connections died, and comes back cold, maybe unannounced. One
@@ -256,7 +261,8 @@
         elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent and not tx.counted:
             self._strike(s)
         # Danger: one out from each of hundreds of nodes is a crowd for one server.
-        s.rest_until = now + max(took, s.latency) * (1 / min(s.limit, 1.0) - 1) * (0.5 + self._chance())
+        span = max(took, s.latency if outcome <= Outcome.MISS else TARGET * rpc.method.soft_ms)
+        s.rest_until = now + span * (1 / min(s.limit, 1.0) - 1) * (0.5 + self._chance())
         if s.first or s.again:
             self.freed.append(s)
         rpc.missed |= outcome == Outcome.MISS
@@ -493,13 +499,13 @@
         if full_work:
             s.latency += (took - s.latency) * (0.1 if s.latency else 1.0)
         if took > TARGET * tx.rpc.method.soft_ms:
-            s.limit, s.growth = max(LEAST if s is self.origin else 1.0, s.limit * 0.9), 0.25
+            s.limit, s.growth = max(s.least, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
             s.limit += s.growth * min(s.limit, 1 / s.limit)
 
     def _strike(self, s: Server) -> None:
         if s is self.origin:  # there is no other: it is asked less, never left
-            s.limit = max(LEAST, s.limit * (0.8 if s.live else 0.5))
+            s.limit = max(s.least, s.limit * (0.8 if s.live else 0.5))
             return
         s.failures, s.struck_at = s.failures + 1, self.now
         if s.failures >= STRIKES and (not s.off or self.now >= s.off_until):
