--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -33,7 +33,6 @@
 WAIT = 0.3  # of what is left: the longest stay in a line
 START_LIMIT = 2.0  # transmissions out at a server we know nothing of, or that is back on the path
 SAVED = 12.0  # RPCs of a share that a node may save up, however small its part of the quota
-SPARE_STEP = 1 / 16  # more of what is over a share is let in after each calm window
 ORIGIN_START = 32.0  # transmissions out at the origin at the start, over all nodes
 LEAST = 1 / 64  # the lowest limit of the origin
 STRIKES = 3  # failures in a row that take a server off the path
@@ -168,7 +167,7 @@
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
         self.armed, self.aged_at, self.points_per_size = FAR, now, 0.0
         self.asked, self.turned, self.pressure, self.overage_gain = 1, 0, 0.0, d.overage_gain
-        self.spare = 4 * SPARE_STEP  # the part let in of what is over a share
+        self.spare = d.overage_gain  # the part let in of what is over a share
         self.next_beat, self.beat_at, self.warm_rate = now + self.window, now, 0.0
         self.next_round = now + ROUND_MS * (1 + self._chance())
         self.todo, self.retract, self.news = deque[Rpc](), deque[Tx](), deque[str]()
@@ -594,7 +593,7 @@
         self.pressure = max(self.turned / self.asked, self.pressure / 2)
         # Danger: what is over a share is let in by all nodes at once when the servers have just caught up.
         calm = self.pressure <= self.overage_gain
-        self.spare = min(1.0, self.spare + SPARE_STEP) if calm else self.spare / 4
+        self.spare = min(1.0, self.spare + self.overage_gain / 4) if calm else self.spare / 4
         self.asked, self.turned = 1, 0
         for s in self.servers.values():
             s.rate, s.sent = s.rate / 2 + s.sent * 500 / span, 0
