--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -35,6 +35,7 @@
 SAVED = 12.0  # RPCs of a share that a node may save up, however small its part of the quota
 ORIGIN_START = 32.0  # transmissions out at the origin at the start, over all nodes
 LEAST = 1 / 64  # the lowest limit of the origin
+STRUCK = 1 / 8  # the limit after a failure at a server with next to nothing out
 STRIKES = 3  # failures in a row that take a server off the path
 FAR = float("inf")
 WAITED = (Outcome.COMPLETED, Outcome.MISS, Outcome.TIMEOUT)
@@ -507,6 +508,7 @@
             s.limit = max(s.least, s.limit * (0.8 if s.live else 0.5))
             return
         s.failures, s.struck_at = s.failures + 1, self.now
+        s.limit = s.limit / 2 if s.limit >= 2 else min(s.limit, STRUCK)
         if s.failures >= STRIKES and (not s.off or self.now >= s.off_until):
             if not s.off:
                 self._tell(f"{s.id} off the path after {s.failures} failures in a row")
