--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -63,6 +63,7 @@
         self.at: Server | None = None
         self.chain: list[Server] | None = None  # along the ring, home first; made when asked for
         self.count, self.rate, self.keys = 0, 0.0, 0
+        self.shy = -FAR  # until then its RPCs pass its cache by
 
 
 class Tx:
@@ -262,6 +263,10 @@
         # Danger: one out from each of hundreds of nodes is a crowd for one server.
         span = max(took, s.latency if outcome <= Outcome.MISS else TARGET * rpc.method.soft_ms)
         s.rest_until = now + span * (1 / min(s.limit, 1.0) - 1) * (0.5 + self._chance())
+        if outcome == Outcome.TIMEOUT and s is rpc.bucket.at:
+            # Danger: a node that sees little takes long to leave a hung server, or one that a few keys crowd.
+            # The client will ask again, and that goes along the ring.
+            rpc.bucket.shy = now + self.pause
         if s.first or s.again:
             self.freed.append(s)
         rpc.missed |= outcome == Outcome.MISS
@@ -358,7 +363,7 @@
         if self.origin_kind >= 0 and (rpc.write or rpc.missed or (tries and tries == self.max_txs - 1)):
             return self._offer(rpc, self.origin, host)
         s = rpc.bucket.at
-        if tries or s is None or not s.ok or not self._room(s):
+        if tries or s is None or not s.ok or now < rpc.bucket.shy or not self._room(s):
             s = self._along(rpc)
         return self._offer(rpc, s, host)
 
@@ -448,6 +453,8 @@
                 continue
             if now < s.cold_until and not self._cold_room(s):
                 continue
+            if s is rpc.bucket.at and now < rpc.bucket.shy and not crowded:
+                continue
             if s.off:
                 # Danger: a server shut out for good. After its pause it is tried with one RPC at a time.
                 if now < s.off_until or s.live or rpc.over:
