--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -63,7 +63,6 @@
         self.at: Server | None = None
         self.chain: list[Server] | None = None  # along the ring, home first; made when asked for
         self.count, self.rate, self.keys = 0, 0.0, 0
-        self.shy = -FAR  # until then its RPCs pass its cache by
 
 
 class Tx:
@@ -146,18 +145,16 @@
 class Node:  # one instance: it shares nothing with any other
     def __init__(self, now: float, d: Deployment) -> None:
         self.now, self.seed, self.draws, self.methods = now, d.seed, 0, {m.name: m for m in d.methods}
-        self.nodes = d.nodes
-        part = 1000.0 * max(1, d.nodes)  # of a quota a second over all nodes, to this node's a millisecond
+        self.ask_within, self.ask_backoff, self.nodes = d.ask_within_ms or 10000.0, 0.0, max(1, d.nodes)
+        part = 1000.0 * self.nodes  # of a quota a second over all nodes, to this node's a millisecond
         self.shares = {c.name: Share(c.quota_per_s / part, now) for c in d.customers if c.quota_per_s > 0}
-        self.origin_kind, self.origin = d.origin_kind, None
-        self.max_txs, self.cancelling = d.max_transmissions or 1, d.cancelling
+        self.max_txs, self.cancelling, self.origin_kind = d.max_transmissions or 1, d.cancelling, d.origin_kind
+        self.origin: Server | None = None
         self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
         self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
-        self.ask_within, self.ask_backoff = d.ask_within_ms or 10000.0, 0.0
         # Danger: hundreds of nodes that start together ask discovery at once; it turns nearly all away.
-        spread = self.ask_within / 2 * (1 - 1 / max(1, d.nodes))
-        self.ask_at = now + spread * self._chance() if d.must_ask else FAR
+        self.ask_at = now + self.ask_within / 2 * (1 - 1 / self.nodes) * self._chance() if d.must_ask else FAR
         self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
         self.servers, self.rpcs = dict[str, Server](), dict[str, Rpc]()
         self.buckets: dict[int, Bucket] = {}  # those asked for so far
@@ -198,7 +195,7 @@
                 resized.append(s)
             s.zone, s.cell, s.size, s.kind = e.zone, e.cell, max(e.size, 1e-3), e.kind
             if e.kind == self.origin_kind and s.least == 1.0:
-                s.least, s.limit = LEAST, min(START_LIMIT, ORIGIN_START / max(1, self.nodes))
+                s.least, s.limit = LEAST, min(START_LIMIT, ORIGIN_START / self.nodes)
             self._state(s, e.state)
         for s in self.servers.values() if kind != ListKind.DELTA else ():
             if s.id not in listed and s.state != State.GONE:
@@ -223,7 +220,7 @@
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
         rpc.until, rpc.aim = now + useful - self.margin, now + m.soft_ms - self.margin
         share = self.shares.get(customer)
-        # Danger: RPCs over a share in the way of those within; shut out while many of these are turned away
+        # Danger: RPCs over a share in the way of those within; fewer are let in while these are turned away.
         rpc.over = share is not None and share.over(now)
         rpc.share = None if rpc.over else share
         rpc.lost = rpc.over and self._chance() >= self.spare
@@ -254,8 +251,8 @@
             s.limit = max(s.least, min(s.limit, 0.8 * (len(s.live) + 1)) if s.live else s.limit / 2)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
             if outcome != Outcome.ERROR and s.failures and s.started < tx.sent:
-                # Danger: a server refusing connections died, and comes back cold, maybe unannounced. One
-                # refusal tells no more than that its table of connections was full.
+                # Danger: a server that refuses twice died and comes back cold, maybe unannounced. One refusal
+                # tells no more than that its table of connections was full.
                 self._cool(s, now)
             self._strike(s)
         elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent and not tx.counted:
@@ -263,10 +260,6 @@
         # Danger: one out from each of hundreds of nodes is a crowd for one server.
         span = max(took, s.latency if outcome <= Outcome.MISS else TARGET * rpc.method.soft_ms)
         s.rest_until = now + span * (1 / min(s.limit, 1.0) - 1) * (0.5 + self._chance())
-        if outcome == Outcome.TIMEOUT and s is rpc.bucket.at:
-            # Danger: a node that sees little takes long to leave a hung server, or one that a few keys crowd.
-            # The client will ask again, and that goes along the ring.
-            rpc.bucket.shy = now + self.pause
         if s.first or s.again:
             self.freed.append(s)
         rpc.missed |= outcome == Outcome.MISS
@@ -363,14 +356,14 @@
         if self.origin_kind >= 0 and (rpc.write or rpc.missed or (tries and tries == self.max_txs - 1)):
             return self._offer(rpc, self.origin, host)
         s = rpc.bucket.at
-        if tries or s is None or not s.ok or now < rpc.bucket.shy or not self._room(s):
+        if tries or s is None or not s.ok or not self._room(s):
             s = self._along(rpc)
         return self._offer(rpc, s, host)
 
     def _offer(self, rpc: Rpc, s: Server | None, host: Host) -> bool:  # send, stand in line or give up
-        if s is None or s.state != State.READY or not self._may_send(rpc, s):
-            return self._give_up(rpc, host)
-        if rpc.over and (2 * len(s.live) >= s.limit or s.limit < 1):  # Danger: it crowds the others out
+        # Danger: what is over a share crowds the others out.
+        crowds = s is not None and rpc.over and (2 * len(s.live) >= s.limit or s.limit < 1)
+        if s is None or s.state != State.READY or crowds or not self._may_send(rpc, s):
             return self._give_up(rpc, host)
         if not s.first and not s.again and self._room(s):
             self._send(rpc, s, host)
@@ -403,9 +396,8 @@
         return None
 
     def _send(self, rpc: Rpc, s: Server, host: Host) -> None:
-        now, tx = self.now, Tx(rpc, s, len(rpc.txs), self.now)
+        now, tx, rpc.live = self.now, Tx(rpc, s, len(rpc.txs), self.now), rpc.live + 1
         rpc.txs.append(tx)
-        rpc.live += 1
         s.live[tx] = None
         s.sent, s.open, s.last = s.sent + 1, True, now
         s.tokens -= now < s.cold_until
@@ -453,8 +445,6 @@
                 continue
             if now < s.cold_until and not self._cold_room(s):
                 continue
-            if s is rpc.bucket.at and now < rpc.bucket.shy and not crowded:
-                continue
             if s.off:
                 # Danger: a server shut out for good. After its pause it is tried with one RPC at a time.
                 if now < s.off_until or s.live or rpc.over:
@@ -599,8 +589,8 @@
         self.next_beat = self.now + self.window
         self.pressure = max(self.turned / self.asked, self.pressure / 2)
         # Danger: what is over a share is let in by all nodes at once when the servers have just caught up.
-        calm = self.pressure <= self.overage_gain
-        self.spare = min(1.0, self.spare + self.overage_gain / 4) if calm else self.spare / 4
+        more = min(1.0, self.spare + self.overage_gain / 4)
+        self.spare = more if self.pressure <= self.overage_gain else self.spare / 4
         self.asked, self.turned = 1, 0
         for s in self.servers.values():
             s.rate, s.sent = s.rate / 2 + s.sent * 500 / span, 0
