--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -70,7 +70,9 @@
         )
     return deployment(
         seed=rng.randrange(2**31),
-        nodes=rng.randint(1, 5),
+        nodes=rng.choice([0, 1, 3, 5, 400]),
+        hold_cost=rng.choice([0.0, 0.03]),
+        dial_cost=rng.choice([0.0, 0.03]),
         methods=tuple(methods),
         customers=tuple(Customer(f"c{i}", rng.choice([0.0, 5.0, 40.0])) for i in range(rng.randint(0, 3))),
         must_ask=rng.random() < 0.7,
@@ -99,7 +101,7 @@
         self.sends: list[tuple[float, str, str]] = []
         self.wakes: list[float] = []
         self.told_from: dict[str, int] = {}
-        self.asked, self.logs, self.count = 0, [], 0
+        self.asked, self.logs, self.closed, self.count = 0, [], [], 0
         self.moods: dict[str, str] = {}
 
     # the host's side
@@ -169,6 +171,7 @@
 
     def close(self, server_id: str) -> None:
         assert server_id in self.told and all(self.txs[r][n]["server"] != server_id for r, n in self.out)
+        self.closed.append(server_id)
 
     def watch(self) -> None:
         self.asked += 1
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,98 @@
+"""Rules and shares that hang on the sum over hundreds of nodes, of which each sees a few RPCs a second."""
+
+import random
+
+from fleet import ORIGIN, Fleet, deployment, entry
+
+from hookpitch.balancer.interface import Customer, ListKind, Outcome
+
+SERVERS = [entry(f"s{i}") for i in range(8)] + [entry("o1", kind=ORIGIN)]
+
+
+def node(nodes: int, seed: int = 7, **changes: object) -> Fleet:
+    f = Fleet(deployment(nodes=nodes, seed=seed, **changes), seed)
+    f.listed(SERVERS, ListKind.CACHED)
+    return f
+
+
+def test_a_cold_server_is_not_pushed_over_by_the_sum_of_many_nodes() -> None:
+    rng, sends = random.Random(3), []
+    fleets = [node(150, rng.getrandbits(53)) for _ in range(150)]
+    started = 16000.0
+    for step in range(50):
+        for f in fleets:
+            if step == 30:
+                f.listed([entry("s9", started=started)], ListKind.DELTA)
+            f.pass_time(500.0)
+            f.end(f.arrive(f"k{rng.randrange(200)}"), Outcome.COMPLETED)
+            sends.append(f.sends[-1])
+    rate = len([1 for _, to, _ in sends if to == "s0"]) / 25000.0
+    for end in range(17500, 26500, 500):
+        got = sum(1 for at, to, _ in sends if to == "s9" and end - 1500 < at <= end)
+        able = (0.2 + 0.8 * (end - started) / 20000.0) * rate * 1500
+        assert got <= able + 2, f"rule 4 at {end}: {got} of {able:.1f}"  # the rule has 3 * able
+    assert any(to == "s9" for _, to, _ in sends)
+
+
+def test_a_quota_under_one_rpc_a_window_still_lets_its_customer_in() -> None:
+    f = node(300, customers=(Customer("small", 87.0),), max_retry_after_ms=400.0)
+    f.node.spare = 0.0  # nothing over a share is let in
+    for i in range(40):
+        f.pass_time(5000.0)
+        f.node.spare = 0.0
+        f.end(f.arrive(f"k{i}", customer="small"), Outcome.COMPLETED)  # fails where it was exhausted
+
+
+def test_failures_do_not_let_more_in_than_the_quota() -> None:
+    f = node(1, customers=(Customer("big", 1.0),))
+    sent = 0
+    for i in range(60):
+        f.node.spare = 0.0
+        rpc = f.arrive(f"k{i}", customer="big")
+        sent += bool(f.txs[rpc])
+        f.pass_time(500.0)
+        if (rpc, 0) in f.out:
+            f.end(rpc, Outcome.TIMEOUT)
+    assert sent <= 3 + 30 + 2  # saved up, earned, and rounding
+
+
+def test_rounds_move_nothing_on_a_few_answers() -> None:
+    f = node(300)
+    for s in f.node.servers.values():
+        s.load = 50.0 if s.id == "s0" else 1.0
+    for i in range(20):
+        f.end(f.arrive(f"k{i}"), Outcome.COMPLETED)
+        f.pass_time(1000.0)
+    assert all(b.at is b.home for b in f.node.buckets.values())
+
+
+def test_a_full_origin_is_asked_less_and_less_by_each_node() -> None:
+    f = node(300)
+    asked = []
+    for i in range(60):
+        rpc = f.arrive(f"k{i}")
+        f.end(rpc, Outcome.MISS)
+        while (rpc, n := len(f.txs[rpc]) - 1) in f.out:
+            asked.append(f.now)
+            f.end(rpc, Outcome.FULL, n)
+        f.pass_time(500.0)
+    assert sum(1 for at in asked if at > 16000.0) <= 8
+
+
+def test_idle_connections_are_closed_where_they_cost() -> None:
+    for cost, closed in ((0.03, True), (0.0, False)):
+        f = node(300, hold_cost=cost, dial_cost=0.03)
+        f.end(f.arrive("k"), Outcome.COMPLETED)
+        f.pass_time(9000.0)
+        assert bool(f.closed) == closed
+
+
+def test_nodes_that_start_together_ask_discovery_one_by_one() -> None:
+    fleets = [node(300, random.Random(seed).getrandbits(53)) for seed in range(40)]
+    assert sum(f.asked for f in fleets) == 0
+    for f in fleets:
+        f.pass_time(1000.0)
+    assert 0 < sum(f.asked for f in fleets) < 20
+    for f in fleets:
+        f.pass_time(9000.0)
+    assert all(f.asked for f in fleets)
