--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -35,9 +35,9 @@
 SAVED = 12.0  # RPCs of a share that a node may save up, however small its part of the quota
 ORIGIN_START = 32.0  # transmissions out at the origin at the start, over all nodes
 LEAST = 1 / 64  # the lowest limit of the origin
+SHED_FROM = 0.2  # of what is within shares turned away or late: from here on less is let in
 STRIKES = 3  # failures in a row that take a server off the path
 FAR = float("inf")
-WAITED = (Outcome.COMPLETED, Outcome.MISS, Outcome.TIMEOUT)
 Place = tuple[bool, float, int, "Rpc"]  # in a line: over share, -gain, arrival
 
 
@@ -96,8 +96,7 @@
 Load = tuple[float, float, Bucket]  # (v, w) of a bucket
 
 
-def weights(caches: Sequence[Server]) -> tuple[float, float]:
-    """The paper's lambda and mu: the scarcer resource weighs more."""
+def weights(caches: Sequence[Server]) -> tuple[float, float]:  # the paper's lambda and mu
     cpu, both = sum(s.c for s in caches), sum(s.c + s.m for s in caches)
     lam = cpu / both if both else 0.5
     return lam, lam * lam / (lam * lam + (1 - lam) ** 2)
@@ -113,8 +112,7 @@
     return lam * (a.c - b.c) / 2, (1 - lam) * (a.m - b.m) / 2  # the paper's h
 
 
-def nearest(loads: list[Load], h: tuple[float, float], lam: float) -> Load:
-    """The bucket whose weighted point lies nearest h; a scan, as only one cache's buckets are looked at."""
+def nearest(loads: list[Load], h: tuple[float, float], lam: float) -> Load:  # a scan of one cache's
     return min(loads, key=lambda p: (lam * p[0] - h[0]) ** 2 + ((1 - lam) * p[1] - h[1]) ** 2)
 
 
@@ -128,8 +126,7 @@
         a, b = caches[utility.index(max(utility))], caches[utility.index(min(utility))]
         if a is b or not loads[a] or max(utility) < DEAD_BAND * sum(utility) / len(caches):
             break
-        point = nearest(loads[a], target_point(a, b, lam), lam)
-        v, w, bucket = point
+        v, w, bucket = point = nearest(loads[a], target_point(a, b, lam), lam)
         ratio = a.size / b.size  # the same traffic weighs more on a smaller cache; the paper's are all equal
         a.c, a.m, b.c, b.m = a.c - v, a.m - w, b.c + v * ratio, b.m + w
         after = imbalance(caches, mu)
@@ -148,8 +145,8 @@
         self.ask_within, self.ask_backoff, self.nodes = d.ask_within_ms or 10000.0, 0.0, max(1, d.nodes)
         part = 1000.0 * self.nodes  # of a quota a second over all nodes, to this node's a millisecond
         self.shares = {c.name: Share(c.quota_per_s / part, now) for c in d.customers if c.quota_per_s > 0}
-        self.max_txs, self.cancelling, self.origin_kind = d.max_transmissions or 1, d.cancelling, d.origin_kind
-        self.origin: Server | None = None
+        self.max_txs, self.cancelling = d.max_transmissions or 1, d.cancelling
+        self.origin_kind, self.origin = d.origin_kind, None
         self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
         self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
@@ -164,8 +161,10 @@
         self.young, self.old = dict[str, None](), dict[str, None]()  # keys asked for, in two generations
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
         self.armed, self.aged_at, self.points_per_size = FAR, now, 0.0
-        self.asked, self.turned, self.pressure, self.overage_gain = 1, 0, 0.0, d.overage_gain
-        self.spare = d.overage_gain  # the part let in of what is over a share
+        self.asked, self.turned, self.pressure, self.shed = 1, 0, 0.0, 0.0  # shed: turned away at the door
+        gains, n = sorted(m.gain for m in d.methods), len(d.methods)
+        self.bands = {m.name: (gains.index(m.gain) / n, gains.count(m.gain) / n) for m in d.methods}
+        self.spare = self.overage_gain = d.overage_gain  # spare: the part let in of what is over a share
         self.next_beat, self.beat_at, self.warm_rate = now + self.window, now, 0.0
         self.next_round = now + ROUND_MS * (1 + self._chance())
         self.todo, self.retract, self.news = deque[Rpc](), deque[Tx](), deque[str]()
@@ -224,8 +223,10 @@
         rpc.over = share is not None and share.over(now)
         rpc.share = None if rpc.over else share
         rpc.lost = rpc.over and self._chance() >= self.spare
-        self.asked += not rpc.over
-        self.rpcs[id] = rpc
+        low, width = self.bands.get(method, (0.0, 1.0))  # among the methods, by gain
+        if self.shed > 0 and share is None and low + width * self._chance() < self.shed:
+            rpc.lost = rpc.over = True
+        self.asked, self.rpcs[id] = self.asked + (not rpc.over), rpc
         self.todo.append(rpc)
 
     def tx_ended(self, now: float, id: str, n: int, outcome: Outcome, last: bool, took: float,
@@ -235,12 +236,12 @@
         tx = rpc.txs[n] if rpc and 0 <= n < len(rpc.txs) else None
         if rpc is None or tx is None or tx.done:
             return
-        tx.done, s = True, tx.server
+        tx.done, tx.ran, s = True, outcome not in NEVER_RAN, tx.server
         rpc.live -= 1
         s.live.pop(tx, None)
-        tx.ran = outcome not in NEVER_RAN
         # Danger: hundreds of nodes, none of which ever fills a server, crowd it with what is over shares.
-        self.turned += now >= rpc.aim and outcome in WAITED and s is not self.origin and not rpc.over
+        answered = outcome <= Outcome.MISS or outcome == Outcome.TIMEOUT
+        self.turned += now >= rpc.aim and answered and s is not self.origin and not rpc.over
         if report:
             held = report.get("utilisation", report.get("inflight", report.get("queue", -2.0) + 1))
             s.load += (held - s.load) / 8 if s.load >= 0 else held + 1
@@ -406,8 +407,7 @@
         host.send(rpc.id, s.id, rpc.until - now)
 
     def _may_send(self, rpc: Rpc, s: Server) -> bool:  # rule 2, for a further transmission
-        kind = rpc.method.idempotency
-        ran = next((tx for tx in rpc.txs if tx.ran), None)
+        kind, ran = rpc.method.idempotency, next((tx for tx in rpc.txs if tx.ran), None)
         if kind == Idempotency.RETRIABLE or ran is None:
             return True
         # Danger: an effect carried out twice. Only servers that drop repeats, and only while they remember.
@@ -418,7 +418,7 @@
 
     def _give_up(self, rpc: Rpc, host: Host) -> bool:
         m = rpc.method
-        self.turned += rpc.lost and not rpc.over and not rpc.missed
+        self.turned += not rpc.over and not rpc.missed and (rpc.lost or any(not t.ran for t in rpc.txs[-1:]))
         harmless = m.idempotency == Idempotency.RETRIABLE or not any(tx.ran for tx in rpc.txs)
         if harmless or (m.idempotency == Idempotency.DEDUPED and m.group == "all"):
             host.exhaust(rpc.id, min(self.retry_after, m.soft_ms) * (0.5 + self._chance() / 2))
@@ -441,9 +441,8 @@
         now, busy = self.now, None
         crowded = self.origin and (self.origin.again or 2 * len(self.origin.live) >= self.origin.limit)
         for s in self._chain(rpc.bucket):
-            if s.state != State.READY or any(tx.server is s for tx in rpc.txs) or not self._may_send(rpc, s):
-                continue
-            if now < s.cold_until and not self._cold_room(s):
+            tried = any(tx.server is s for tx in rpc.txs) or not self._may_send(rpc, s)
+            if s.state != State.READY or tried or (now < s.cold_until and not self._cold_room(s)):
                 continue
             if s.off:
                 # Danger: a server shut out for good. After its pause it is tried with one RPC at a time.
@@ -464,9 +463,8 @@
         return free and (self.now >= s.cold_until or self._cold_room(s))
 
     def _cold_room(self, s: Server) -> bool:
-        """Rule 4. Danger: a cold server is pushed over for good, by one RPC from each of hundreds of nodes as
-        well as by many from one. It gets what a warm server of its size gets from this node, cut by the
-        slowest warm-up, as tokens; the first is due at a drawn time, so that nodes do not come together."""
+        # Danger: rule 4; one RPC from each of hundreds of nodes pushes a cold server over, too. It gets, as
+        # tokens, what a warm one gets from this node, cut by the slowest warm-up, the first at a drawn time.
         grown = max(0.0, 1 - (s.cold_until - self.now) / self.cold_ms) if self.cold_ms else 1.0
         share = self.cold_share + (1 - self.cold_share) * grown
         gain = (self.now - s.refilled) * share * self.warm_rate * s.size / 1000
@@ -587,18 +585,20 @@
     def _beat(self) -> None:  # rates, once a window of rule 4
         span, self.beat_at = max(self.now - self.beat_at, 1.0), self.now
         self.next_beat = self.now + self.window
-        self.pressure = max(self.turned / self.asked, self.pressure / 2)
+        late, self.asked, self.turned = self.turned / self.asked, 1, 0
+        self.pressure = max(late, self.pressure / 2)
         # Danger: what is over a share is let in by all nodes at once when the servers have just caught up.
         more = min(1.0, self.spare + self.overage_gain / 4)
         self.spare = more if self.pressure <= self.overage_gain else self.spare / 4
-        self.asked, self.turned = 1, 0
+        # Danger: more than the fleet can do, from nodes that never fill a server, is late as a whole.
+        self.shed = min(0.9, max(0.0, self.shed + (late / 4 if late > SHED_FROM else -SHED_FROM / 4)))
         for s in self.servers.values():
             s.rate, s.sent = s.rate / 2 + s.sent * 500 / span, 0
             for line in (s.first, s.again):
                 if line:  # Danger: a line of RPCs that have long had their answer
                     line[:] = sorted(place for place in line if place[3].line)
+            # Danger: each of hundreds of nodes keeps a connection to each server, whose table is full.
             if s.open and not s.live and self.now - s.last > self.idle:
-                # Danger: each of hundreds of nodes keeps a connection to each server, whose table is full.
                 s.open = False
                 self.closing.append(s)
             if s.state == State.READY and not s.off:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -4,7 +4,7 @@
 
 from fleet import ORIGIN, Fleet, deployment, entry
 
-from hookpitch.balancer.interface import Customer, ListKind, Outcome
+from hookpitch.balancer.interface import Customer, ListKind, Method, Outcome
 
 SERVERS = [entry(f"s{i}") for i in range(8)] + [entry("o1", kind=ORIGIN)]
 
@@ -96,3 +96,16 @@
     for f in fleets:
         f.pass_time(9000.0)
     assert all(f.asked for f in fleets)
+
+
+def test_overload_sheds_the_least_gain_first_and_stops_when_it_is_over() -> None:
+    dear, cheap = Method("dear", 400.0, 1000.0, 5.0), Method("cheap", 400.0, 1000.0, 1.0)
+    f = node(300, methods=(dear, cheap))
+    for i in range(40):
+        f.node.turned, f.node.asked = 2 * (i < 20), 4
+        f.pass_time(1500.0)
+        if i == 2:
+            f.node.shed = 0.5
+            assert all(not f.txs[f.arrive(f"c{k}", "cheap")] for k in range(5))
+            assert all(f.txs[f.arrive(f"d{k}", "dear")] for k in range(5))
+    assert f.node.shed == 0.0 and f.txs[f.arrive("last", "cheap")]
