--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -19,7 +19,7 @@
 from hookpitch.balancer.interface import Method, Outcome, Report, State
 
 BUCKETS = 4096  # the unit moved; a hundred for each cache of a fleet of forty
-RING_POINTS = 300  # of a cache of mean size
+RING_POINTS = 150  # of a cache of mean size
 CHAIN = 8  # servers looked at along the ring
 ROUND_MS = 2500.0  # half the design page's starting value
 DEAD_BAND = 1.5  # a round acts only when the heaviest is this many times the mean
