--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -76,7 +76,7 @@
         self.n, self.id, self.key, self.bucket, self.method, self.write = n, id, key, bucket, method, write
         self.until = self.aim = self.line = 0.0  # line: when its stay in one is over; 0 when in none
         self.share: Share | None = None  # whose token it holds until it is completed
-        self.over = self.missed = self.closed = self.lost = self.back = False
+        self.over = self.missed = self.closed = self.lost = False
         self.txs, self.live = list[Tx](), 0
         self.queued: Server | None = None  # in whose line
 
@@ -117,6 +117,7 @@
 
 
 def migrate(caches: list[Server], loads: dict[Server, list[Load]]) -> list[tuple[Bucket, Server]]:
+    """One round: move nearest-neighbour buckets from heaviest to lightest while sigma falls, until IT."""
     lam, mu = weights(caches)
     moves: list[tuple[Bucket, Server]] = []
     sigma = begun = imbalance(caches, mu)
@@ -331,10 +332,7 @@
             _, _, rpc, tx = heapq.heappop(self.wakes)
             if tx is None:
                 if rpc.line and rpc.line <= now and not rpc.closed:
-                    # Danger: after a flush hundreds of nodes want the same keys of a small origin. What another
-                    # node has fetched by now is in the cache: it is asked once more.
-                    rpc.line, rpc.lost, rpc.missed = 0.0, rpc.back or not rpc.missed, False
-                    rpc.back = True
+                    rpc.line, rpc.lost = 0.0, True
                     self.todo.append(rpc)
                 elif rpc.queued:
                     self.freed.append(rpc.queued)
@@ -359,7 +357,7 @@
         if self.origin_kind >= 0 and (rpc.write or rpc.missed or (tries and tries == self.max_txs - 1)):
             return self._offer(rpc, self.origin, host)
         s = rpc.bucket.at
-        if (tries and not rpc.back) or s is None or not s.ok or not self._room(s):
+        if tries or s is None or not s.ok or not self._room(s):
             s = self._along(rpc)
         return self._offer(rpc, s, host)
 
@@ -483,6 +481,8 @@
             bucket.chain = list(met)
         return bucket.chain
 
+    # ---- health
+
     def _answered(self, tx: Tx, took: float, full_work: bool) -> None:
         s = tx.server
         s.answered_at, s.failures, s.heard = self.now, 0, s.heard + 1
@@ -530,6 +530,8 @@
                 self.todo.append(rpc)
         s.first, s.again = [], []
 
+    # ---- the list and the ring
+
     def _state(self, s: Server, state: State) -> None:
         if state != State.READY and s.state == State.READY:
             self._leave(s, state == State.GONE)
