--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -499,7 +499,7 @@
 
     def _strike(self, s: Server) -> None:
         if s is self.origin:  # there is no other: it is asked less, never left
-            s.limit = max(s.least, s.limit * (0.8 if s.live else 0.5))
+            s.limit = max(s.least, min(s.limit, len(s.live) + 1) * (0.8 if s.live else 0.5))
             return
         s.failures, s.struck_at = s.failures + 1, self.now
         if s.failures >= STRIKES and (not s.off or self.now >= s.off_until):
