--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -418,8 +418,7 @@
 
     def _give_up(self, rpc: Rpc, host: Host) -> bool:
         m = rpc.method
-        unseen = rpc.share is None and any(not tx.ran for tx in rpc.txs[-1:])
-        self.turned += not rpc.over and not rpc.missed and (rpc.lost or unseen)
+        self.turned += not rpc.over and not rpc.missed and (rpc.lost or any(not t.ran for t in rpc.txs[-1:]))
         harmless = m.idempotency == Idempotency.RETRIABLE or not any(tx.ran for tx in rpc.txs)
         if harmless or (m.idempotency == Idempotency.DEDUPED and m.group == "all"):
             host.exhaust(rpc.id, min(self.retry_after, m.soft_ms) * (0.5 + self._chance() / 2))
