--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -589,7 +589,7 @@
         self.pressure = max(late, self.pressure / 2)
         # Danger: what is over a share is let in by all nodes at once when the servers have just caught up.
         more = min(1.0, self.spare + self.overage_gain / 4)
-        self.spare = more if self.pressure <= self.overage_gain else self.spare / 4
+        self.spare = more if self.pressure <= self.overage_gain else self.spare / 2
         # Danger: more than the fleet can do, from nodes that never fill a server, is late as a whole.
         self.shed = min(0.9, max(0.0, self.shed + (late / 4 if late > SHED_FROM else -SHED_FROM / 4)))
         for s in self.servers.values():
