--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -4,7 +4,7 @@
 
 from fleet import ORIGIN, Fleet, deployment, entry
 
-from hookpitch.balancer.interface import Customer, ListKind, Method, Outcome
+from hookpitch.balancer.interface import Customer, ListKind, Method, Outcome, State
 
 SERVERS = [entry(f"s{i}") for i in range(8)] + [entry("o1", kind=ORIGIN)]
 
@@ -109,3 +109,19 @@
             assert all(not f.txs[f.arrive(f"c{k}", "cheap")] for k in range(5))
             assert all(f.txs[f.arrive(f"d{k}", "dear")] for k in range(5))
     assert f.node.shed == 0.0 and f.txs[f.arrive("last", "cheap")]
+
+
+def test_a_jammed_discovery_is_asked_again_and_a_drain_is_kept_meanwhile() -> None:
+    f = node(300)
+    f.listed([entry("s0", State.DRAINING)], ListKind.DELTA)
+    asked_at = []
+    for i in range(600):
+        before = f.asked
+        f.pass_time(100.0)
+        if f.asked > before:
+            asked_at.append(f.now)
+            f.listed([], ListKind.FAILED)  # every call fails
+        f.end(f.arrive(f"k{i}"), Outcome.COMPLETED)
+    gaps = [b - a for a, b in zip(asked_at, asked_at[1:], strict=False)]
+    assert max(gaps) <= 10000.0 and len(gaps) < 60  # within ask_within, and no storm
+    assert all(to != "s0" for _, to, _ in f.sends)
