--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -114,6 +114,7 @@
 def test_a_jammed_discovery_is_asked_again_and_a_drain_is_kept_meanwhile() -> None:
     f = node(300)
     f.listed([entry("s0", State.DRAINING)], ListKind.DELTA)
+    f.listed([], ListKind.FAILED)  # the watch is lost
     asked_at = []
     for i in range(600):
         before = f.asked
