--- /dev/null
+++ b/hookpitch/core/deadlines.py
@@ -0,0 +1,72 @@
+"""All deadlines of a node, in one ordered structure."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+
+FAR = float("inf")
+
+
+class Deadline:
+    """One place in the order; `drop` takes it out."""
+
+    __slots__ = ("at", "n", "call")
+
+    def __init__(self, at: float, n: int, call: Callable[[float], None]) -> None:
+        self.at, self.n = at, n
+        self.call: Callable[[float], None] | None = call
+
+    def __lt__(self, other: Deadline) -> bool:
+        return (self.at, self.n) < (other.at, other.n)
+
+
+class Deadlines:
+    def __init__(self, arm: Callable[[float], None]) -> None:
+        self._arm, self._armed = arm, FAR  # asks for the one wake-up, at a time
+        self._heap: list[Deadline] = []
+        self._count = self._dropped = 0
+
+    def __len__(self) -> int:
+        return len(self._heap) - self._dropped
+
+    def add(self, at: float, call: Callable[[float], None]) -> Deadline:
+        """`call(now)` is due at `at`."""
+        self._count += 1
+        deadline = Deadline(at, self._count, call)
+        heapq.heappush(self._heap, deadline)
+        if at < self._armed:
+            self._armed = at
+            self._arm(at)
+        return deadline
+
+    def drop(self, deadline: Deadline | None) -> None:
+        if deadline is None or deadline.call is None:
+            return
+        deadline.call = None
+        self._dropped += 1
+        if self._dropped > 64 and 2 * self._dropped > len(self._heap):
+            # Danger: RPCs answered in a millisecond leave their deadlines of seconds behind.
+            self._heap = [d for d in self._heap if d.call is not None]
+            heapq.heapify(self._heap)
+            self._dropped = 0
+
+    @property
+    def first(self) -> float:
+        while self._heap and self._heap[0].call is None:
+            heapq.heappop(self._heap)
+            self._dropped -= 1
+        return self._heap[0].at if self._heap else FAR
+
+    def run(self, now: float) -> None:
+        """The wake-up: call all that is due, in order, and ask for the next."""
+        try:
+            while self.first <= now:
+                deadline = heapq.heappop(self._heap)
+                call, deadline.call = deadline.call, None
+                if call is not None:
+                    call(now)
+        finally:  # Danger: a fault in one call must not leave the node without a wake-up.
+            self._armed = self.first
+            if self._armed < FAR:
+                self._arm(self._armed)
--- /dev/null
+++ b/hookpitch/core/resp.py
@@ -0,0 +1,127 @@
+"""RESP2: a parser that takes bytes as they come, and the few forms that are written."""
+
+from __future__ import annotations
+
+from hookpitch.core.ring import Ring
+
+VALUE_MOST = 65536  # bytes in a bulk string
+LINE_MOST = 4096  # bytes in any other line
+ITEMS_MOST = 1024  # in an array
+DEPTH_MOST = 4  # of arrays within arrays
+
+
+class Malformed(ValueError):
+    """What came is no RESP2, or more than is taken."""
+
+
+class Plain(bytes):
+    """A simple string: `+OK`."""
+
+
+class Fault(bytes):
+    """An error line, without its dash."""
+
+
+Value = bytes | int | None | list["Value"]
+
+
+class Parser:
+    """Takes whole values off a ring. `commands_only`: arrays of bulk strings, as clients send them."""
+
+    __slots__ = ("ring", "commands_only", "_arrays", "_bulk", "_seen")
+
+    def __init__(self, ring: Ring, commands_only: bool = False) -> None:
+        self.ring, self.commands_only = ring, commands_only
+        self._arrays: list[tuple[list[Value], int]] = []  # open ones, outermost first, with their lengths
+        self._bulk, self._seen = -1, 0  # the bulk string's length; where the line's end is sought
+
+    @property
+    def between(self) -> bool:
+        """True where nothing has come of a next value."""
+        return not self._arrays and self._bulk < 0 and not len(self.ring)
+
+    def next(self) -> tuple[bool, Value]:
+        """(True, a value), or (False, None) until more has come."""
+        while True:
+            found, value = self._one()
+            if not found:
+                return False, None
+            if isinstance(value, tuple):  # an array was opened
+                if len(self._arrays) >= DEPTH_MOST:
+                    raise Malformed("arrays too deep")
+                self._arrays.append(value)
+                if value[1]:
+                    continue
+                value = self._arrays.pop()[0]
+            while self._arrays:
+                items, count = self._arrays[-1]
+                items.append(value)
+                if len(items) < count:
+                    break
+                value = self._arrays.pop()[0]
+            else:
+                return True, value
+
+    def _one(self) -> tuple[bool, Value | tuple[list[Value], int]]:
+        ring = self.ring
+        if self._bulk >= 0:
+            return self._body()
+        end = ring.line_end(self._seen)
+        if end < 0:
+            self._seen = len(ring)
+            if self._seen > LINE_MOST:
+                raise Malformed("line too long")
+            if self.commands_only and self._seen and ring.peek(1) not in (b"*", b"$"):
+                raise Malformed("an array of bulk strings was due")
+            return False, None
+        self._seen = 0
+        if end > LINE_MOST:
+            raise Malformed("line too long")
+        line = ring.read(end + 1)
+        if line[-2:] != b"\r\n":
+            raise Malformed("a line ends without CR")
+        kind, text = line[:1], line[1:-2]
+        if self.commands_only and kind != (b"$" if self._arrays else b"*"):
+            raise Malformed("an array of bulk strings was due")
+        if kind == b"$":
+            length = _count(text, VALUE_MOST)
+            if length < 0:
+                if self.commands_only:
+                    raise Malformed("null in a command")
+                return True, None
+            self._bulk = length
+            return self._body()
+        if kind == b"*":
+            length = _count(text, ITEMS_MOST)
+            return True, None if length < 0 else ([], length)
+        if kind == b"+":
+            return True, Plain(text)
+        if kind == b"-":
+            return True, Fault(text)
+        if kind == b":":
+            return True, _count(text, 2**63 - 1, -(2**63))
+        raise Malformed("no such type")
+
+    def _body(self) -> tuple[bool, Value]:
+        if len(self.ring) < self._bulk + 2:
+            return False, None
+        value = self.ring.read(self._bulk)
+        if self.ring.read(2) != b"\r\n":
+            raise Malformed("a bulk string is longer than told")
+        self._bulk = -1
+        return True, value
+
+
+def _count(text: bytes, most: int, least: int = -1) -> int:
+    digits = text[1:] if text[:1] == b"-" else text
+    if not digits.isdigit() or len(digits) > 20 or not least <= (count := int(text)) <= most:
+        raise Malformed("a bad number")
+    return count
+
+
+def bulk(value: bytes | None) -> bytes:
+    return b"$-1\r\n" if value is None else b"$%d\r\n%b\r\n" % (len(value), value)
+
+
+def command(*words: bytes) -> bytes:
+    return b"".join([b"*%d\r\n" % len(words), *map(bulk, words)])
--- /dev/null
+++ b/hookpitch/net/caches.py
@@ -0,0 +1,269 @@
+"""Connections to the caches and the origin: a pool for each, one RPC at a time on each connection."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory, connectionDone
+from twisted.python.failure import Failure
+
+from hookpitch.balancer.deployment import report
+from hookpitch.balancer.interface import Entry, ListKind, Outcome, State
+from hookpitch.core.deadlines import Deadline
+from hookpitch.core.host import NO_REPORT, Host, Tx
+from hookpitch.core.resp import Fault, Malformed, Parser, Value, command
+from hookpitch.net.clock import Clock
+from hookpitch.net.wire import Wire
+
+IDLE_SHARE = 0.9  # of the time after which a server closes an idle connection: it is not used again
+
+
+class Connection(Wire):
+    """One connection to a server, with at most one transmission on it."""
+
+    def __init__(self, pool: Pool) -> None:
+        super().__init__()
+        self.pool, self.number = pool, -1
+        self.tx: Tx | None = None
+        self.expiry: Deadline | None = None
+        self.lost = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        super().connectionMade()
+        self.number = self.pool.pools.host.connections.add(self)
+        self.pool.made(self)
+
+    def begin(self, tx: Tx) -> None:
+        self.tx, tx.carrier, tx.written = tx, self, True
+        self.put(self.request(tx))
+
+    def request(self, tx: Tx) -> bytes:
+        raise NotImplementedError
+
+    def over(self, outcome: Outcome, value: bytes | None = None, load: str = "", reuse: bool = True) -> None:
+        """The transmission is over; the connection is free for the next."""
+        tx, self.tx = self.tx, None
+        pools = self.pool.pools
+        now = pools.clock.now()
+        if reuse:
+            self.pool.free(self)
+        else:
+            self.transport.abortConnection()
+        if tx is None:
+            return
+        values = NO_REPORT
+        if load:
+            try:
+                values = report(load, "=")
+            except ValueError:
+                pools.host.counters.add("reports.bad")
+        pools.host.tx_over(now, tx, outcome, value, values)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        self.lost = True
+        pools, tx = self.pool.pools, self.tx
+        self.tx = None
+        pools.host.connections.free(self.number)
+        self.pool.gone(self)
+        if tx is not None:
+            # Danger: taken for never sent, an RPC that ran would run twice. Only what stands in our own ring
+            # was surely not written whole.
+            whole = not len(self.outward)
+            pools.host.tx_over(pools.clock.now(), tx, Outcome.RESET if whole else Outcome.CONNECT_FAILED)
+
+
+class CacheConnection(Connection):
+    def __init__(self, pool: Pool) -> None:
+        super().__init__(pool)
+        self.parser = Parser(self.inward)
+
+    def request(self, tx: Tx) -> bytes:
+        rpc = tx.rpc
+        words = (rpc.command, rpc.key, rpc.id, tx.extras())
+        return command(*words) if rpc.value is None else command(*words, rpc.value)
+
+    def came(self) -> None:
+        try:
+            found, reply = self.parser.next()
+        except Malformed:
+            return self.over(Outcome.ERROR, reuse=False)
+        if found:
+            if self.tx is None or not self.parser.between:  # nobody asked
+                return self.over(Outcome.ERROR, reuse=False)
+            self._reply(reply)
+
+    def _reply(self, reply: Value) -> None:
+        if isinstance(reply, list) and len(reply) == 3 and _text(reply[0]) and _text(reply[2]):
+            load = (reply[2] or b"").decode("latin-1")
+            self.over(Outcome.MISS if reply[0] is None else Outcome.COMPLETED, reply[0], load)
+        elif isinstance(reply, Fault):
+            words = reply.decode("latin-1").split(" ")
+            load = words[-1] if "=" in words[-1] else ""
+            self.over(Outcome.FULL if words[0] == "BUSY" else Outcome.ERROR, load=load)
+            if words[0] not in ("BUSY", "ERR"):
+                self.pool.pools.host.counters.add("caches.odd_answers")
+        else:
+            self.over(Outcome.ERROR, reuse=False)
+
+
+def _text(value: Value) -> bool:
+    return value is None or isinstance(value, bytes)
+
+
+class _Dial(ClientFactory):
+    noisy = False
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.connection: Connection | None = None
+        self.deadline: Deadline | None = None
+
+    def buildProtocol(self, addr: Any) -> Connection:  # noqa: ANN401, N802
+        self.connection = self.pool.connect(self.pool)
+        return self.connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: ANN401, N802
+        self.pool.dial_over(self, False)
+
+
+class Pool:
+    """The connections to one server."""
+
+    def __init__(self, pools: Pools, address: tuple[str, int], connect: Callable[[Pool], Connection]) -> None:
+        self.pools, self.address, self.connect = pools, address, connect
+        self.idle: list[Connection] = []  # the latest used last
+        self.waiting: deque[Tx] = deque()
+        self.dials: dict[_Dial, None] = {}
+        self.retired = False  # the server is gone, or lives elsewhere now
+
+    def carry(self, tx: Tx) -> bool:
+        if self.idle:
+            connection = self.idle.pop()
+            self.pools.clock.deadlines.drop(connection.expiry)
+            connection.begin(tx)
+            return True
+        if len(self.dials) <= len(self.waiting) and not self._dial():
+            return False
+        self.waiting.append(tx)
+        tx.carrier = self
+        return True
+
+    def _dial(self) -> bool:
+        pools = self.pools
+        if not pools.room():
+            pools.host.counters.add("dials.no_room")
+            return False
+        pools.held += 1
+        pools.host.counters.add("dials")
+        dial = _Dial(self)
+        self.dials[dial] = None
+        connector = pools.reactor.connectTCP(*self.address, dial, timeout=None)
+        until = pools.clock.now() + pools.dial_ms
+        dial.deadline = pools.clock.deadlines.add(until, lambda _: connector.disconnect())
+        return True
+
+    def dial_over(self, dial: _Dial, up: bool) -> None:
+        pools = self.pools
+        self.dials.pop(dial, None)
+        pools.clock.deadlines.drop(dial.deadline)
+        if up:
+            return
+        pools.held -= 1
+        pools.host.counters.add("dials.failed")
+        if len(self.waiting) > len(self.dials):
+            tx = self.waiting.popleft()
+            pools.host.tx_over(pools.clock.now(), tx, Outcome.CONNECT_FAILED)
+
+    def made(self, connection: Connection) -> None:
+        dial = next(d for d in self.dials if d.connection is connection)
+        self.dial_over(dial, True)
+        self.free(connection)
+
+    def free(self, connection: Connection) -> None:
+        if connection.lost:
+            return
+        if self.waiting:
+            connection.begin(self.waiting.popleft())
+        elif self.retired:
+            connection.transport.loseConnection()
+        else:
+            pools = self.pools
+            self.idle.append(connection)
+            until = pools.clock.now() + pools.idle_ms
+            connection.expiry = pools.clock.deadlines.add(until, lambda _: self.shut(connection))
+
+    def shut(self, connection: Connection) -> None:
+        if connection in self.idle:
+            self.idle.remove(connection)
+            self.pools.clock.deadlines.drop(connection.expiry)
+            connection.transport.loseConnection()
+
+    def shut_idle(self) -> None:
+        for connection in list(self.idle):
+            self.shut(connection)
+
+    def gone(self, connection: Connection) -> None:
+        self.pools.held -= 1
+        if connection in self.idle:
+            self.idle.remove(connection)
+            self.pools.clock.deadlines.drop(connection.expiry)
+
+
+class Pools:
+    """All pools; `held` counts their descriptors, dials included."""
+
+    def __init__(self, reactor: Any, clock: Clock, host: Host, most: int,  # noqa: ANN401
+                 origin: Callable[[Pool], Connection]) -> None:  # fmt: skip
+        self.reactor, self.clock, self.host, self.most, self.origin = reactor, clock, host, most, origin
+        self.dial_ms = host.deployment.dial_timeout_ms
+        self.idle_ms = IDLE_SHARE * host.deployment.conn_idle_ms
+        self.pools: dict[str, Pool] = {}
+        self.held = 0
+
+    def carry(self, now: float, tx: Tx) -> bool:
+        pool = self.pools.get(tx.server)
+        return pool is not None and pool.carry(tx)
+
+    def call_off(self, now: float, tx: Tx) -> None:
+        connection = tx.carrier
+        if isinstance(connection, Connection) and connection.tx is tx:
+            connection.tx = None
+            connection.transport.abortConnection()
+        elif isinstance(connection, Pool) and tx in connection.waiting:
+            connection.waiting.remove(tx)
+
+    def close_idle(self, server: str) -> None:
+        if server in self.pools:
+            self.pools[server].shut_idle()
+
+    def room(self) -> bool:
+        """Danger: out of descriptors, a node takes no clients. Idle connections go first."""
+        if self.held >= self.most:
+            for pool in self.pools.values():
+                if pool.idle:
+                    pool.shut(pool.idle[0])
+                    return True
+        return self.held < self.most
+
+    def listed(self, kind: ListKind, entries: Sequence[Entry], dials: Mapping[str, str]) -> None:
+        for e in entries:
+            old = self.pools.get(e.id)
+            host, _, port = dials[e.id].rpartition(":")
+            address = (host.strip("[]"), int(port))
+            if e.state != State.READY:
+                if old is not None:
+                    old.shut_idle()
+            elif old is None or old.address != address:
+                origin = e.kind == self.host.deployment.origin_kind
+                new = Pool(self, address, self.origin if origin else CacheConnection)
+                if old is not None:
+                    old.retired = True
+                    old.shut_idle()
+                self.pools[e.id] = new
+        if kind != ListKind.DELTA:
+            listed = {e.id for e in entries}
+            for id, pool in self.pools.items():
+                if id not in listed:
+                    pool.shut_idle()
--- /dev/null
+++ b/hookpitch/net/clients.py
@@ -0,0 +1,148 @@
+"""Clients: RESP2 commands in, one answer each in their order."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from hookpitch.core.host import Host, Rpc
+from hookpitch.core.resp import Malformed, Parser, bulk
+from hookpitch.net.clock import Clock
+from hookpitch.net.wire import Wire
+
+WORDS = {b"OBJ.GET": 4, b"OBJ.SET": 5}
+
+
+@implementer(IHalfCloseableProtocol)
+class Client(Wire):
+    def __init__(self, clients: Clients) -> None:
+        super().__init__()
+        self.clients, self.host = clients, clients.host
+        self.parser = Parser(self.inward, commands_only=True)
+        self.due: deque[list[bytes | None]] = deque()  # a place for each command, in order
+        self.rpcs: dict[int, Rpc] = {}  # open ones, by their place's id
+        self.number = -1
+        self.ending = self.lost = False  # ending: nothing more is read
+
+    def connectionMade(self) -> None:  # noqa: N802
+        super().connectionMade()
+        self.number = self.host.connections.add(self)
+        self.clients.open[self] = None
+        self.host.counters.add("clients.connected")
+
+    def came(self) -> None:
+        try:
+            while not self.ending:
+                found, words = self.parser.next()
+                if not found:
+                    break
+                if words:
+                    self._command(words)
+        except Malformed as fault:
+            self.host.counters.add("clients.malformed")
+            self._say(b"-ERR %b\r\n" % str(fault).encode())
+            self.ending = True
+        if self.ending:
+            self.inward.skip(len(self.inward))
+        self._flush()
+
+    def _say(self, answer: bytes) -> None:
+        self.due.append([answer])
+
+    def _command(self, words: list[bytes]) -> None:
+        name = words[0].upper()
+        if name in WORDS:
+            place: list[bytes | None] = [None]
+            self.due.append(place)
+            rpc = None
+            if len(words) == WORDS[name]:
+                words[0] = name
+                rpc = self.host.taken(self.clients.clock.now(), self, place, words)
+            if rpc is None:
+                self.host.counters.add("clients.wrong")
+                place[0] = b"-ERR wrong number of words, unknown class or bad wait\r\n"
+            elif rpc.open:
+                self.rpcs[id(place)] = rpc
+        elif name == b"PING":
+            self._say(bulk(words[1]) if len(words) > 1 else b"+PONG\r\n")
+        elif name == b"INFO":
+            self._say(bulk(self.clients.info()))
+        elif name in (b"CLIENT", b"SELECT"):
+            self._say(b"+OK\r\n")
+        elif name == b"QUIT":
+            self._say(b"+OK\r\n")
+            self.ending = True
+        else:
+            self.host.counters.add("clients.wrong")
+            self._say(b"-ERR unknown command\r\n")
+
+    def answered(self, place: list[bytes | None], answer: bytes) -> None:
+        place[0] = answer
+        self.rpcs.pop(id(place), None)
+        if not self.lost:
+            self._flush()
+
+    def _flush(self) -> None:
+        while self.due and self.due[0][0] is not None:
+            self.put(self.due.popleft()[0])
+        self._end()
+
+    def drained(self) -> None:
+        self._end()
+
+    def _end(self) -> None:
+        # Danger: a command that has come in part is a client that waits: a node that leaves reads it first.
+        over = self.ending or (self.clients.leaving is not None and self.parser.between)
+        if over and not self.due and not len(self.outward) and not self.lost:
+            self.transport.loseConnection()
+
+    def readConnectionLost(self) -> None:  # noqa: N802
+        self.ending = True  # a half-closed client still reads its answers
+        self._end()
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        pass
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        self.lost = True
+        self.host.connections.free(self.number)
+        self.clients.open.pop(self, None)
+        self.due.clear()
+        for rpc in list(self.rpcs.values()):
+            self.host.client_left(self.clients.clock.now(), rpc)
+        self.rpcs.clear()
+        self.clients.left()
+
+
+class Clients(Factory):
+    noisy = False
+
+    def __init__(self, host: Host, clock: Clock) -> None:
+        self.host, self.clock = host, clock
+        self.open: dict[Client, None] = {}
+        self.leaving: Callable[[], None] | None = None
+
+    def buildProtocol(self, addr: Any) -> Client:  # noqa: ANN401, N802
+        return Client(self)
+
+    def info(self) -> bytes:
+        gauges = f"clients.open:{len(self.open)}\r\nrpcs.open:{len(self.host.rpcs)}\r\n"
+        return (gauges + self.host.counters.lines()).encode()
+
+    def leave(self, done: Callable[[], None]) -> None:
+        """Close what is idle, the rest once answered; `done` when all are closed."""
+        self.leaving = done
+        for client in list(self.open):
+            client.drained()
+        self.left()
+
+    def left(self) -> None:
+        if self.leaving is not None and not self.open:
+            done, self.leaving = self.leaving, None
+            done()
--- /dev/null
+++ b/hookpitch/net/discovery.py
@@ -0,0 +1,157 @@
+"""Discovery: a watch over HTTP/1.1 that stays open, one JSON object a line."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import h11
+from twisted.internet.protocol import ClientFactory, connectionDone
+from twisted.python.failure import Failure
+
+from hookpitch.balancer.interface import Entry, ListKind, State
+from hookpitch.core.deadlines import Deadline
+from hookpitch.core.host import Host
+from hookpitch.core.ring import Ring
+from hookpitch.net.clock import Clock
+from hookpitch.net.wire import Wire
+
+BEAT_MS = 2000.0  # an empty line comes this often
+BEATS_MISSED = 2.2  # and a watch silent for more of them than this is lost
+LINE_MOST = 1 << 24  # bytes
+STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
+
+
+def read(text: bytes | str | Mapping[str, Any], kinds: Sequence[str]
+         ) -> tuple[int, bool, list[Entry], dict[str, str]]:  # fmt: skip
+    """One of discovery's objects: version, whether whole, entries, where to dial them. ValueError if bad."""
+    try:
+        top = text if isinstance(text, Mapping) else json.loads(text)
+        entries, dials = [], {}
+        for h in top["hosts"]:
+            e = Entry(
+                id=str(h["host"]),
+                zone=str(h.get("site") or ""),
+                cell=int(h.get("block") or 0),
+                started_ms=float(h.get("born_ms") or 0),
+                state=STATES[h["health"]],
+                kind=kinds.index(h["class"]) if h.get("class") in kinds else -2,
+                size=float(1.0 if h.get("share") is None else h["share"]),
+            )
+            host, _, port = str(h["dial"]).rpartition(":")
+            if not host or not 0 < int(port) < 65536 or not abs(e.started_ms + e.size) < float("inf"):
+                raise ValueError("a bad entry")
+            entries.append(e)
+            dials[e.id] = h["dial"]
+        return int(top["seq"]), bool(top["whole"]), entries, dials
+    except (KeyError, TypeError, ValueError, AttributeError, RecursionError, OverflowError) as fault:
+        raise ValueError(f"a bad list of servers: {fault!r}") from None
+
+
+class Watch(Wire):
+    """One call: what discovery writes is told until the connection ends."""
+
+    def __init__(self, discovery: Discovery) -> None:
+        super().__init__()
+        self.discovery = discovery
+        self.http = h11.Connection(h11.CLIENT)
+        self.lines = Ring()
+        self.silence: Deadline | None = None
+        self.connector: Any = None
+        self.over = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        super().connectionMade()
+        host, port = self.discovery.address
+        target = f"/v1/servers?follow=1&since={self.discovery.seq}"
+        headers = [("Host", f"{host}:{port}")]
+        request = self.http.send(h11.Request(method="GET", target=target, headers=headers))
+        self.put(request + self.http.send(h11.EndOfMessage()))
+
+    def came(self) -> None:
+        self.http.receive_data(self.inward.read(len(self.inward)))
+        try:
+            while not self.over:
+                event = self.http.next_event()
+                if isinstance(event, h11.Response):
+                    if event.status_code != 200:
+                        return self.end()
+                elif isinstance(event, h11.Data):
+                    self.lines.write(bytes(event.data))
+                    self._lines()
+                elif event is h11.NEED_DATA:
+                    return
+                else:
+                    return self.end()
+        except (h11.RemoteProtocolError, ValueError) as fault:
+            self.discovery.host.logger.info("discovery answers badly", why=str(fault)[:200])
+            self.end()
+
+    def _lines(self) -> None:
+        discovery = self.discovery
+        deadlines, now = discovery.clock.deadlines, discovery.clock.now()
+        deadlines.drop(self.silence)
+        self.silence = deadlines.add(now + BEATS_MISSED * BEAT_MS, lambda _: self.end())
+        while (end := self.lines.line_end()) >= 0:
+            line = self.lines.read(end + 1).strip()
+            if line:
+                discovery.told(line)
+        if len(self.lines) > LINE_MOST:
+            raise ValueError("line too long")
+
+    def end(self, quiet: bool = False) -> None:
+        """The watch is lost, or (quiet) given up for a new one."""
+        if self.over:
+            return
+        self.over = True
+        self.discovery.clock.deadlines.drop(self.silence)
+        if self.transport is not None:
+            self.transport.abortConnection()
+        elif self.connector is not None:
+            self.connector.disconnect()  # it still dials
+        if not quiet:
+            self.discovery.lost(self)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        self.end()
+
+
+class _Dial(ClientFactory):
+    noisy = False
+
+    def __init__(self, watch: Watch) -> None:
+        self.watch = watch
+
+    def buildProtocol(self, addr: Any) -> Watch:  # noqa: ANN401, N802
+        return self.watch
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: ANN401, N802
+        self.watch.end()
+
+
+class Discovery:
+    def __init__(self, reactor: Any, clock: Clock, host: Host, address: tuple[str, int],  # noqa: ANN401
+                 seq: int) -> None:  # fmt: skip
+        self.reactor, self.clock, self.host, self.address, self.seq = reactor, clock, host, address, seq
+        self.current: Watch | None = None
+
+    def watch(self, now: float) -> None:
+        if self.current is not None:
+            self.current.end(quiet=True)
+        watch = self.current = Watch(self)
+        watch.connector = self.reactor.connectTCP(*self.address, _Dial(watch), timeout=None)
+        # Danger: a discovery cut off never answers, and a watch that hangs would tell of no loss.
+        until = now + self.host.deployment.ask_within_ms / 2
+        watch.silence = self.clock.deadlines.add(until, lambda _: watch.end())
+
+    def told(self, line: bytes) -> None:
+        seq, whole, entries, dials = read(line, self.host.deployment.kinds)
+        self.seq = max(self.seq, seq)
+        kind = ListKind.FULL if whole else ListKind.DELTA
+        self.host.listed(self.clock.now(), kind, entries, dials)
+
+    def lost(self, watch: Watch) -> None:
+        if watch is self.current:
+            self.current = None
+            self.host.listed(self.clock.now(), ListKind.FAILED, [], {})
--- /dev/null
+++ b/hookpitch/net/origin.py
@@ -0,0 +1,67 @@
+"""The origin: HTTP/1.1, one RPC at a time on each connection."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+import h11
+
+from hookpitch.balancer.interface import Outcome
+from hookpitch.core.host import Tx
+from hookpitch.core.resp import VALUE_MOST
+from hookpitch.net.caches import Connection, Pool
+
+
+class OriginConnection(Connection):
+    def __init__(self, pool: Pool) -> None:
+        super().__init__(pool)
+        self.http = h11.Connection(h11.CLIENT)
+        self.status, self.headers, self.body = 0, dict[bytes, bytes](), b""
+
+    def request(self, tx: Tx) -> bytes:
+        rpc, write = tx.rpc, tx.rpc.value is not None
+        host, port = self.pool.address
+        headers = [("Host", f"{host}:{port}"), ("X-Request-Id", rpc.id), ("X-Extras", rpc.extras)]
+        if write:
+            headers.append(("Content-Length", str(len(rpc.value))))
+        request = h11.Request(method="PUT" if write else "GET", target="/" + quote(rpc.key, safe=""),
+                              headers=headers)  # fmt: skip
+        parts = [self.http.send(request)]
+        if write:
+            parts.append(self.http.send(h11.Data(data=rpc.value)))
+        parts.append(self.http.send(h11.EndOfMessage()))
+        self.status, self.headers, self.body = 0, {}, b""
+        return b"".join(part for part in parts if part)
+
+    def came(self) -> None:
+        self.http.receive_data(self.inward.read(len(self.inward)))
+        self._read()
+
+    def _read(self) -> None:
+        try:
+            while True:
+                event = self.http.next_event()
+                if isinstance(event, h11.Response):
+                    self.status, self.headers = event.status_code, dict(event.headers)
+                elif isinstance(event, h11.Data):
+                    self.body += bytes(event.data)
+                    if len(self.body) > VALUE_MOST:
+                        return self.over(Outcome.ERROR, reuse=False)
+                elif isinstance(event, h11.EndOfMessage):
+                    return self._whole()
+                elif not isinstance(event, h11.InformationalResponse):
+                    return  # more is needed, or the connection ends
+        except h11.RemoteProtocolError:
+            self.over(Outcome.ERROR, reuse=False)
+
+    def _whole(self) -> None:
+        never = self.headers.get(b"x-not-run") == b"1"
+        if self.status == 200:
+            outcome = Outcome.COMPLETED
+        else:
+            outcome = Outcome.FULL if self.status in (503, 504) and never else Outcome.ERROR
+        reuse = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        if reuse:
+            self.http.start_next_cycle()
+        value = self.body if outcome == Outcome.COMPLETED else None
+        self.over(outcome, value, self.headers.get(b"x-load", b"").decode("latin-1"), reuse)
--- a/hookpitch/simwire/adapter.py
+++ b/hookpitch/simwire/adapter.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import gc
+import json
 import sys
 from collections.abc import Iterator
 from dataclasses import replace
 from typing import TextIO
 
 from hookpitch.balancer.decisions import Node
+from hookpitch.balancer.deployment import deployment, report
 from hookpitch.balancer.interface import Entry, ListKind
 from hookpitch.simwire import codec
-from hookpitch.simwire.codec import WireError, flag, ms, outcome, report, seconds
+from hookpitch.simwire.codec import WireError, flag, ms, outcome, seconds
 
 WRITE = 4  # the bit of a REQUEST's options that marks a write
 
@@ -22,7 +24,7 @@
     def __init__(self, name: str, out: list[str]) -> None:
         self.name, self.out = name, out
         self.node: Node | None = None
-        self.kinds: list[str] = []
+        self.kinds: tuple[str, ...] = ()
         self.fault = ""
 
     def send(self, rpc_id: str, server_id: str, limit_ms: float) -> None:
@@ -97,11 +99,11 @@
             name, seed, settings = _values(rest, 3)
             seat = self.seats[name] = touched[name] = Seat(name, self.out)
             try:
-                deployment, seat.kinds = codec.deployment(seed, settings)
-            except (WireError, ValueError, TypeError, AttributeError) as fault:
+                told = deployment(int(seed), json.loads(settings))
+            except ValueError as fault:
                 seat.fault = str(fault)
-                raise WireError(str(fault)) from None
-            seat.node = Node(now, deployment)
+                raise
+            seat.kinds, seat.node = told.kinds, Node(now, told)
             return
         name = rest.partition(" ")[0]
         if word == "PEERS_KNOWN":
@@ -115,7 +117,7 @@
         if word == "SETTLED":
             _, ticket, took, _, code, last, _, copy, load = _values(rest, 9)
             touched[name] = seat
-            node.tx_ended(now, ticket, int(copy), outcome(code), flag(last), ms(took), report(load))
+            node.tx_ended(now, ticket, int(copy), outcome(code), flag(last), ms(took), report(load, ":"))
         elif word == "REQUEST":
             _, ticket, key, bits, grace, _, customer, _, method = _values(rest, 9)
             touched[name] = seat
