After a client's FIN nothing further is sent for its RPC; what is out may still answer it

A FIN does not tell a client that left from one that still reads: what is out ends and its value is written, anything else is -ERR, nothing is sent.

--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -64,13 +64,14 @@
     """An RPC from the time it is taken until it is answered and no transmission is out."""
 
     __slots__ = ("number", "client", "place", "command", "key", "id", "extras", "value", "hard", "deadline",
-                 "txs", "live", "open")  # fmt: skip
+                 "txs", "live", "open", "parting")  # fmt: skip
 
     def __init__(self, client: Client, place: list[bytes | None], words: Sequence[bytes]) -> None:
         self.client, self.place = client, place
         self.command, self.key, self.id, self.extras = words[:4]
         self.value = words[4] if len(words) > 4 else None
-        self.number, self.live, self.open, self.hard = -1, 0, True, 0.0
+        self.number, self.live, self.hard = -1, 0, 0.0
+        self.open, self.parting = True, False  # parting: the client sends no more, maybe has gone
         self.deadline: Deadline | None = None
         self.txs: list[Tx] = []
 
@@ -129,6 +130,8 @@
         self.counters.add(f"tx.{outcome.name.lower()}")
         if outcome == Outcome.COMPLETED and rpc.open:
             self._answer(rpc, bulk(value), "completed")
+        elif rpc.parting and rpc.open:
+            self._answer(rpc, b"-ERR failed\r\n", "errored")
         self.node.tx_ended(now, str(rpc.number), tx.n, outcome, not rpc.open, now - tx.sent, report)
         self._free(rpc)
         self.decide(now)
@@ -141,6 +144,18 @@
             self._free(rpc)
             self.decide(now)
 
+    def client_parting(self, now: float, rpc: Rpc) -> None:
+        """The client ended its sending: it has gone, or still reads."""
+        # Danger: both look alike. For one that has gone nothing may be sent any more; one that reads must get
+        # its answer. So what is out may end, and nothing further is sent.
+        if rpc.open and not rpc.parting:
+            rpc.parting = True
+            if not any(tx.written and not tx.done for tx in rpc.txs):
+                self._answer(rpc, b"-ERR failed\r\n", "errored")
+            self.node.client_left(now, str(rpc.number))
+            self._free(rpc)
+            self.decide(now)
+
     def listed(self, now: float, kind: ListKind, entries: list[Entry], dials: Mapping[str, str]) -> None:
         """A list of servers, or that none could be had."""
         self.counters.add(f"lists.{kind.name.lower()}")
@@ -184,6 +199,8 @@
     def cancel(self, rpc_id: str, tx: int) -> None:
         rpc = self.rpcs.get(int(rpc_id))
         if rpc is not None and tx < len(rpc.txs) and not rpc.txs[tx].done:
+            if rpc.parting and rpc.open:
+                return
             self.carrier.call_off(self.now, rpc.txs[tx])
             self.tx_over(self.now, rpc.txs[tx], Outcome.CANCELLED)
 
--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -103,7 +103,9 @@
             self.transport.loseConnection()
 
     def readConnectionLost(self) -> None:  # noqa: N802
-        self.ending = True  # a half-closed client still reads its answers
+        self.ending = True
+        for rpc in list(self.rpcs.values()):
+            self.host.client_parting(self.clients.clock.now(), rpc)
         self._end()
 
     def writeConnectionLost(self) -> None:  # noqa: N802
