Start and assembly in files of their own; slow readers and crowds of clients are bounded

Load reports come as name=value from caches and origin alike and are read (seen by a probe of the first of them). Bounded: answers left unread (memory), idle client connections (descriptors), items in an array, lines about odd input. A server's new start closes the idle connections to the process before.

--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -15,6 +15,7 @@
 
 CUSTOMER = b"billing"  # the name under which an RPC tells its customer
 NO_REPORT: Report = {}
+ODD_LOGGED = 3  # lines for each kind of odd input
 
 
 class Carrier(Protocol):
@@ -225,6 +226,12 @@
     def log(self, text: str) -> None:
         self.logger.info(text)
 
+    def odd(self, what: str, text: str) -> None:
+        """Something came in a form that is not known: counted, the first of them logged."""
+        self.counters.add(f"odd.{what}")
+        if self.counters.counts[f"odd.{what}"] <= ODD_LOGGED:
+            self.logger.info(f"odd {what}: {text[:200]!r}")
+
     # ---- deadlines and answers
 
     def _woken(self, now: float) -> None:
--- a/hookpitch/core/resp.py
+++ b/hookpitch/core/resp.py
@@ -6,7 +6,7 @@
 
 VALUE_MOST = 65536  # bytes in a bulk string
 LINE_MOST = 4096  # bytes in any other line
-ITEMS_MOST = 1024  # in an array
+ITEMS_MOST = 16  # in an array
 DEPTH_MOST = 4  # of arrays within arrays
 
 
--- a/hookpitch/net/caches.py
+++ b/hookpitch/net/caches.py
@@ -58,7 +58,7 @@
             try:
                 values = report(load, "=")
             except ValueError:
-                pools.host.counters.add("reports.bad")
+                pools.host.odd("reports", load)
         pools.host.tx_over(now, tx, outcome, value, values)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
@@ -103,7 +103,7 @@
             load = words[-1] if "=" in words[-1] else ""
             self.over(Outcome.FULL if words[0] == "BUSY" else Outcome.ERROR, load=load)
             if words[0] not in ("BUSY", "ERR"):
-                self.pool.pools.host.counters.add("caches.odd_answers")
+                self.pool.pools.host.odd("answers", reply.decode("latin-1"))
         else:
             self.over(Outcome.ERROR, reuse=False)
 
@@ -136,7 +136,8 @@
         self.idle: list[Connection] = []  # the latest used last
         self.waiting: deque[Tx] = deque()
         self.dials: dict[_Dial, None] = {}
-        self.retired = False  # the server is gone, or lives elsewhere now
+        self.started = 0.0
+        self.retired = False  # the server lives elsewhere now
 
     def carry(self, tx: Tx) -> bool:
         if self.idle:
@@ -255,13 +256,17 @@
             if e.state != State.READY:
                 if old is not None:
                     old.shut_idle()
-            elif old is None or old.address != address:
+                continue
+            if old is None or old.address != address:
                 origin = e.kind == self.host.deployment.origin_kind
                 new = Pool(self, address, self.origin if origin else CacheConnection)
                 if old is not None:
                     old.retired = True
                     old.shut_idle()
                 self.pools[e.id] = new
+            elif old.started != e.started_ms:
+                old.shut_idle()  # Danger: connections to the process before, silent if its machine vanished.
+            self.pools[e.id].started = e.started_ms
         if kind != ListKind.DELTA:
             listed = {e.id for e in entries}
             for id, pool in self.pools.items():
--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -17,6 +17,7 @@
 from hookpitch.net.wire import Wire
 
 WORDS = {b"OBJ.GET": 4, b"OBJ.SET": 5}
+UNREAD_MOST = 1 << 20  # bytes of answers that a client may leave unread before its RPCs wait as well
 
 
 @implementer(IHalfCloseableProtocol)
@@ -35,6 +36,7 @@
         self.number = self.host.connections.add(self)
         self.clients.open[self] = None
         self.host.counters.add("clients.connected")
+        self.clients.make_room()
 
     def came(self) -> None:
         try:
@@ -91,15 +93,25 @@
     def _flush(self) -> None:
         while self.due and self.due[0][0] is not None:
             self.put(self.due.popleft()[0])
+        if len(self.outward) > UNREAD_MOST:
+            if not self.paused and not self.ending:
+                self.pauseProducing()
+            self.clients.spare_memory()
         self._end()
 
     def drained(self) -> None:
+        if self.paused and not self.ending:
+            self.resumeProducing()
         self._end()
 
+    @property
+    def idle(self) -> bool:
+        return not self.due and not len(self.outward) and self.parser.between
+
     def _end(self) -> None:
         # Danger: a command that has come in part is a client that waits: a node that leaves reads it first.
-        over = self.ending or (self.clients.leaving is not None and self.parser.between)
-        if over and not self.due and not len(self.outward) and not self.lost:
+        over = self.ending and not self.due and not len(self.outward)
+        if not self.lost and (over or (self.clients.leaving is not None and self.idle)):
             self.transport.loseConnection()
 
     def readConnectionLost(self) -> None:  # noqa: N802
@@ -125,8 +137,8 @@
 class Clients(Factory):
     noisy = False
 
-    def __init__(self, host: Host, clock: Clock) -> None:
-        self.host, self.clock = host, clock
+    def __init__(self, host: Host, clock: Clock, most: int, memory: int) -> None:
+        self.host, self.clock, self.most, self.memory = host, clock, most, memory
         self.open: dict[Client, None] = {}
         self.leaving: Callable[[], None] | None = None
 
@@ -137,6 +149,21 @@
         gauges = f"clients.open:{len(self.open)}\r\nrpcs.open:{len(self.host.rpcs)}\r\n"
         return (gauges + self.host.counters.lines()).encode()
 
+    def make_room(self) -> None:
+        """Danger: clients that keep connections and use none shut all others out."""
+        if len(self.open) > self.most:
+            idle = next((client for client in self.open if client.idle), None)
+            if idle is not None:
+                self.host.counters.add("clients.closed_idle")
+                idle.transport.loseConnection()
+
+    def spare_memory(self) -> None:
+        """Danger: clients that ask and never read; the node would be killed for memory."""
+        if sum(client.outward.room for client in self.open) > self.memory:
+            worst = max(self.open, key=lambda client: client.outward.room)
+            self.host.counters.add("clients.cut_off")
+            worst.transport.abortConnection()
+
     def leave(self, done: Callable[[], None]) -> None:
         """Close what is idle, the rest once answered; `done` when all are closed."""
         self.leaving = done
--- /dev/null
+++ b/hookpitch/net/node.py
@@ -0,0 +1,58 @@
+"""One node put together, and how it leaves."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hookpitch.balancer.interface import ListKind
+from hookpitch.core.counters import Counters
+from hookpitch.core.host import Host
+from hookpitch.net.caches import Pools
+from hookpitch.net.clients import Clients
+from hookpitch.net.clock import Clock
+from hookpitch.net.discovery import Discovery
+from hookpitch.net.origin import OriginConnection
+from hookpitch.net.start import Post
+
+BACKLOG = 4096
+SERVE_ON_MS = 500.0  # after being asked to leave, while clients still come
+REPLY_MS = 150.0  # past the longest deadline, for the last answers to be written
+
+
+class SocketNode:
+    def __init__(self, reactor: Any, clock: Clock, post: Post, counters: Counters,  # noqa: ANN401
+                 logger: Any) -> None:  # noqa: ANN401  # fmt: skip
+        self.reactor, self.clock, self.post, self.logger = reactor, clock, post, logger
+        self.host = Host(clock.now(), post.deployment, clock.deadlines, counters, logger)
+        # Half of the descriptors for servers, the rest for clients; some for the log, discovery and the like.
+        self.pools = Pools(reactor, clock, self.host, post.sockets // 2, OriginConnection)
+        self.clients = Clients(self.host, clock, post.sockets * 7 // 16, post.memory_mb << 18)
+        self.discovery = Discovery(reactor, clock, self.host, post.discovery, post.seq)
+        self.host.carrier, self.host.watcher = self.pools, self.discovery
+        self.leaving = False
+        self.port: Any = None
+
+    def start(self) -> None:
+        self.host.listed(self.clock.now(), ListKind.CACHED, list(self.post.known), self.post.dials)
+        address, port = self.post.listen
+        self.port = self.reactor.listenTCP(port, self.clients, backlog=BACKLOG, interface=address)
+        self.logger.info("serving", listen=f"{address}:{port}", servers=len(self.post.known))
+
+    def leave(self) -> None:
+        """Serve on for a while, then listen no more, answer what was taken, and end."""
+        if self.leaving:
+            return
+        self.leaving = True
+        self.logger.info("leaving")
+        longest = max((m.hard_ms for m in self.post.deployment.methods), default=0.0)
+        until, deadlines = self.clock.now() + SERVE_ON_MS, self.clock.deadlines
+        deadlines.add(until, lambda _: self._close())
+        deadlines.add(until + longest + REPLY_MS, lambda _: self._end())
+
+    def _close(self) -> None:
+        self.port.stopListening()
+        self.clients.leave(self._end)
+
+    def _end(self) -> None:
+        if self.reactor.running:
+            self.reactor.stop()
--- /dev/null
+++ b/hookpitch/net/start.py
@@ -0,0 +1,87 @@
+"""What a node is told when it starts, from the environment and the file that it names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from hookpitch.balancer.deployment import deployment
+from hookpitch.balancer.interface import Deployment, Entry
+from hookpitch.net.discovery import read
+
+SOCKETS_LEAST = 64
+MEMORY_LEAST = 64  # MB
+
+
+@dataclass(frozen=True, slots=True)
+class Post:
+    """One node's place in the deployment."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    sockets: int
+    memory_mb: int
+    deployment: Deployment
+    seq: int
+    known: tuple[Entry, ...]
+    dials: Mapping[str, str]
+
+
+def post(environment: Mapping[str, str]) -> Post:
+    """ValueError says in one line what is wrong."""
+    path = environment.get("PROXY_CONFIG")
+    if not path:
+        raise ValueError("PROXY_CONFIG names no file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            top = json.load(file)
+    except (OSError, ValueError, RecursionError) as fault:
+        raise ValueError(f"{path}: {fault}") from None
+    if not isinstance(top, dict):
+        raise ValueError(f"{path}: no JSON object")
+
+    def told(name: str) -> str:
+        value = environment.get(f"PROXY_{name.upper()}") or top.get(name)
+        if not isinstance(value, str) or not value:
+            raise ValueError(f"{name} is missing")
+        return value
+
+    seed, limits = top.get("seed", 0), top.get("limits") or {}
+    number = _whole(int(seed, 16) if isinstance(seed, str) and _hex(seed) else seed, "seed", 0)
+    if not isinstance(limits, dict):
+        raise ValueError("limits is no JSON object")
+    # On sockets the list always has to be asked for.
+    d = replace(deployment(number, top.get("settings")), must_ask=True)
+    known = top.get("known")
+    seq, _, entries, dials = read({"seq": 0, "whole": True, "hosts": []} if known is None else known, d.kinds)
+    return Post(
+        name=told("name"),
+        listen=_address(told("listen"), "listen"),
+        discovery=_address(told("discovery"), "discovery"),
+        sockets=_whole(limits.get("sockets", 1024), "limits.sockets", SOCKETS_LEAST),
+        memory_mb=_whole(limits.get("memory_mb", 192), "limits.memory_mb", MEMORY_LEAST),
+        deployment=d,
+        seq=seq,
+        known=tuple(entries),
+        dials=dials,
+    )
+
+
+def _hex(text: str) -> bool:
+    return 0 < len(text) <= 64 and all(c in "0123456789abcdefABCDEF" for c in text)
+
+
+def _whole(value: Any, name: str, least: int) -> int:  # noqa: ANN401
+    if not isinstance(value, int | float) or not least <= value < float("inf"):
+        raise ValueError(f"{name} is no number from {least} up")
+    return int(value)
+
+
+def _address(text: str, name: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{name} '{text}' is no address with a port")
+    return host.strip("[]"), int(port)
