Random runs of the node on in-memory sockets; a gone client's RPCs are all told of at once

The runs found: when a client with several RPCs had gone, the room of the first went to the next of its own, which was sent after its end (host.py client_left decided after each). All are told of first now. Plain cases and random runs cover split, pipelined and malformed input, half-closes, slow readers, refused, silent and late dials, resets, odd answers, lists that lie, and leaving.

--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -137,25 +137,30 @@
         self._free(rpc)
         self.decide(now)
 
-    def client_left(self, now: float, rpc: Rpc) -> None:
-        if rpc.open:
-            self.counters.add("rpcs.client_left")
-            self._end(rpc)
-            self.node.client_left(now, str(rpc.number))
-            self._free(rpc)
-            self.decide(now)
-
-    def client_parting(self, now: float, rpc: Rpc) -> None:
-        """The client ended its sending: it has gone, or still reads."""
-        # Danger: both look alike. For one that has gone nothing may be sent any more; one that reads must get
-        # its answer. So what is out may end, and nothing further is sent.
-        if rpc.open and not rpc.parting:
-            rpc.parting = True
-            if not any(tx.written and not tx.done for tx in rpc.txs):
+    def client_left(self, now: float, rpcs: Sequence[Rpc], reads: bool) -> None:
+        """A client has gone or (reads) has ended its sending: then it has gone, too, or still reads."""
+        # Danger: all of its RPCs are told of before anything is decided. Room that the first one leaves would
+        # go to the next in line, and nothing may be sent for a client that has gone.
+        deciding, self._deciding = self._deciding, True
+        for rpc in rpcs:
+            if not rpc.open or (rpc.parting and reads):
+                continue
+            # Danger: both ends of sending look alike. One who reads must get its answer, so what is out may
+            # end; for one who has gone nothing further may be sent.
+            rpc.parting = reads
+            if not reads:
+                self.counters.add("rpcs.client_left")
+                self._end(rpc)
+            elif not any(tx.written and not tx.done for tx in rpc.txs):
                 self._answer(rpc, b"-ERR failed\r\n", "errored")
             self.node.client_left(now, str(rpc.number))
+            for tx in rpc.txs if not rpc.open else ():
+                if not tx.done:
+                    self.carrier.call_off(now, tx)
+                    self.tx_over(now, tx, Outcome.CANCELLED)
             self._free(rpc)
-            self.decide(now)
+        self._deciding = deciding
+        self.decide(now)
 
     def listed(self, now: float, kind: ListKind, entries: list[Entry], dials: Mapping[str, str]) -> None:
         """A list of servers, or that none could be had."""
--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -106,7 +106,7 @@
 
     @property
     def idle(self) -> bool:
-        return not self.due and not len(self.outward) and self.parser.between
+        return not self.due and not len(self.outward) and not self.ending and self.parser.between
 
     def _end(self) -> None:
         # Danger: a command that has come in part is a client that waits: a node that leaves reads it first.
@@ -116,8 +116,7 @@
 
     def readConnectionLost(self) -> None:  # noqa: N802
         self.ending = True
-        for rpc in list(self.rpcs.values()):
-            self.host.client_parting(self.clients.clock.now(), rpc)
+        self.host.client_left(self.clients.clock.now(), list(self.rpcs.values()), reads=True)
         self._end()
 
     def writeConnectionLost(self) -> None:  # noqa: N802
@@ -128,8 +127,7 @@
         self.host.connections.free(self.number)
         self.clients.open.pop(self, None)
         self.due.clear()
-        for rpc in list(self.rpcs.values()):
-            self.host.client_left(self.clients.clock.now(), rpc)
+        self.host.client_left(self.clients.clock.now(), list(self.rpcs.values()), reads=False)
         self.rpcs.clear()
         self.clients.left()
 
@@ -155,7 +153,8 @@
             idle = next((client for client in self.open if client.idle), None)
             if idle is not None:
                 self.host.counters.add("clients.closed_idle")
-                idle.transport.loseConnection()
+                idle.ending = True
+                idle.drained()
 
     def spare_memory(self) -> None:
         """Danger: clients that ask and never read; the node would be killed for memory."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,10 +1,21 @@
-"""The tests' one helper: a host that draws troubles from a seed and checks the four rules at every step."""
+"""The tests' one helper: a host that draws troubles from a seed and checks the four rules at every step, and
+a network in memory for the node on sockets."""
 
 from __future__ import annotations
 
+import json
 import random
+from collections.abc import Callable
+from dataclasses import replace
+
+from twisted.internet.error import ConnectionDone, UserError
+from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
+from twisted.test.iosim import FakeTransport
 
 from hookpitch.balancer.decisions import Node
+from hookpitch.balancer.deployment import deployment as read_deployment
 from hookpitch.balancer.interface import (
     NEVER_RAN,
     Customer,
@@ -16,6 +27,13 @@
     Outcome,
     State,
 )
+from hookpitch.core.counters import Counters
+from hookpitch.core.resp import Fault, Parser, command
+from hookpitch.core.ring import Ring
+from hookpitch.net.clock import Clock
+from hookpitch.net.discovery import read
+from hookpitch.net.node import SocketNode
+from hookpitch.net.start import Post
 
 ORIGIN = 9
 
@@ -284,3 +302,344 @@
             self.settle()
         else:
             self.pass_time(rng.choice([1.0, 20.0, 200.0]))
+
+
+# ---- the node on sockets, on in-memory transports
+
+
+SETTINGS = {
+    "balancers": 1,
+    "methods": [
+        {"name": "read", "soft_deadline_s": 0.4, "hard_deadline_s": 1.0, "idempotency": "retryable"},
+        {"name": "once", "soft_deadline_s": 0.4, "hard_deadline_s": 1.0, "idempotency": "fragile"},
+    ],
+    "host_types": ["std", "origin"],
+    "family_info": {"mode": "aside", "origin_kind": 1},
+    "limits": {"most_transmissions": 3, "cancelling": True, "dial_timeout_s": 0.25, "conn_idle_s": 60.0},
+    "rules": {"cold_from": 0.2, "cold_s": 20.0, "tip_after_s": 1.5, "ask_within_s": 10.0},
+    "tick_s": 0.001,
+}
+
+
+def listed_host(id: str, port: int, **changes: object) -> dict[str, object]:
+    """A server as discovery tells it."""
+    plain = {"host": id, "dial": f"127.0.0.1:{port}", "site": "a", "class": "std", "block": 0,
+             "health": "in_service", "share": 1.0, "born_ms": 0}  # fmt: skip
+    return plain | changes
+
+
+class Line(FakeTransport):
+    """One connection: what the node writes is kept in `got`; losing it is told a moment later."""
+
+    def __init__(self, network: Network, protocol: Protocol, port: int) -> None:
+        super().__init__(protocol, True)
+        self.network, self.port, self.got, self.reads, self.ended = network, port, b"", True, False
+        self.paused = False
+        protocol.makeConnection(self)
+
+    def write(self, data: bytes) -> None:
+        if self.ended or self.disconnecting:
+            return
+        self.got += data
+        if self.network.watcher is not None:
+            self.network.watcher(self, data)
+
+    def take(self) -> bytes:
+        """All that the node has written, the peer reading on."""
+        while self.producer is not None and self.reads and not self.ended:
+            self.producer.resumeProducing()
+        got, self.got = self.got, b""
+        return got
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        self.paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        self.paused = False
+
+    def loseConnection(self) -> None:  # noqa: N802
+        if not self.disconnecting:
+            self.disconnecting = True
+            self.network.callLater(0, self.end)
+
+    abortConnection = loseConnection  # noqa: N815
+
+    def say(self, data: bytes) -> None:
+        if not self.ended and not self.disconnecting:
+            self.protocol.dataReceived(data)
+
+    def end(self) -> None:
+        if not self.ended:
+            self.ended = True
+            self.protocol.connectionLost(Failure(ConnectionDone()))
+
+
+class Connector:
+    def __init__(self, network: Network, port: int, factory: ClientFactory) -> None:
+        self.network, self.port, self.factory, self.over = network, port, factory, False
+
+    def disconnect(self) -> None:
+        if not self.over:
+            self.over = True
+            self.factory.clientConnectionFailed(self, Failure(UserError()))
+
+    def up(self) -> Line:
+        self.over = True
+        line = Line(self.network, self.factory.buildProtocol(None), self.port)
+        self.network.lines.append(line)
+        return line
+
+
+class Network(MemoryReactorClock):
+    """Dials by port: 'up' at once, 'refused' at once, or 'silent'."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.running = True
+        self.ways: dict[int, str] = {}
+        self.dials: list[Connector] = []
+        self.lines: list[Line] = []
+        self.watcher: Callable[[Line, bytes], None] | None = None
+
+    def connectTCP(self, host: str, port: int, factory: ClientFactory, timeout: float | None = None,  # noqa: N802
+                   bindAddress: object = None) -> Connector:  # noqa: N803  # fmt: skip
+        connector = Connector(self, port, factory)
+        self.dials.append(connector)
+        way = self.ways.get(port, "up")
+        if way != "silent":
+            end = connector.up if way == "up" else connector.disconnect
+            self.callLater(0, lambda: connector.over or end())
+        return connector
+
+    def to(self, port: int) -> list[Line]:
+        return [line for line in self.lines if line.port == port and not line.ended]
+
+
+DISCOVERY, ORIGIN_PORT = 8500, 8080
+
+
+class Sockets:
+    """A node with its network; caches listen on the ports from 7000 on."""
+
+    def __init__(self, caches: int = 2, **limits: int) -> None:
+        self.network = Network()
+        self.hosts = [listed_host(f"s{i}", 7000 + i) for i in range(caches)]
+        self.hosts.append(listed_host("o1", ORIGIN_PORT, **{"class": "origin"}))
+        seq, _, entries, dials = read({"seq": 5, "whole": True, "hosts": self.hosts}, ("std", "origin"))
+        self.clock = Clock(self.network, self.network.seconds, lambda: 1e9)
+        self.post = Post("n0", ("127.0.0.1", 6379), ("127.0.0.1", DISCOVERY), limits.get("sockets", 256),
+                         limits.get("memory_mb", 64), replace(told(SETTINGS), must_ask=True), seq,
+                         tuple(entries), dials)  # fmt: skip
+        self.counters, self.logs = Counters(), list[str]()
+        self.node = SocketNode(self.network, self.clock, self.post, self.counters, self)
+        self.node.start()
+        self.pass_time(0)
+
+    def info(self, event: str, **values: object) -> None:
+        self.logs.append(event)
+
+    def client(self) -> Line:
+        return Line(self.network, self.node.clients.buildProtocol(None), 0)
+
+    def pass_time(self, ms: float) -> None:
+        for _ in range(max(1, int(ms))):
+            self.network.advance(0.001 if ms else 0)
+            self.network.advance(0)
+
+    def request(self, port: int) -> list[bytes] | None:
+        """The words of the newest command that a cache has been written, taken off its connection."""
+        for line in self.network.to(port):
+            data = line.take()
+            if data:
+                ring = Ring()
+                ring.write(data)
+                return Parser(ring).next()[1]
+        return None
+
+
+def told(settings: dict[str, object]) -> Deployment:
+    return read_deployment(7, settings)
+
+
+def get(id: str, key: str = "91f03b7c55d20a64", method: str = "read", wait: int = 900) -> bytes:
+    return command(b"OBJ.GET", key.encode(), id.encode(), f"c={method},d={wait}".encode())
+
+
+class Storm:
+    """Draws what clients, caches, origin, discovery and the network do to a node, several troubles at once.
+
+    Fails the test where the node breaks a rule. Values are made for one RPC alone, so a wrong one is seen.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.rng, self.s = random.Random(seed), Sockets(3)
+        self.network, self.count = self.s.network, 0
+        self.network.watcher = self.written
+        self.clients: list[Line] = []
+        self.asked: dict[int, list[str]] = {}  # by connection: ids in the order of their commands
+        self.answers: dict[str, object] = {}
+        self.due: dict[str, float] = {}  # open RPCs, with their hard deadlines
+        self.once: dict[str, bool] = {}  # of a non-retriable method: whether it may have run
+        self.out: dict[str, Line] = {}  # transmissions that wait for an answer
+        self.parsers: dict[int, Parser] = {}
+        self.told_off: dict[int, float] = {}  # ports of servers not ready, since when it was told
+
+    @property
+    def now(self) -> float:
+        return self.network.seconds() * 1000
+
+    def written(self, line: Line, data: bytes) -> None:
+        if line.port == DISCOVERY:
+            return
+        if line.port == ORIGIN_PORT:
+            for head in data.split(b"X-Request-Id: ")[1:]:
+                self.sent(line, head.split(b"\r\n")[0].decode())
+            return
+        parser = self.parsers.setdefault(id(line), Parser(Ring()))
+        parser.ring.write(data)
+        while (found := parser.next())[0]:
+            if line.port == 0:
+                self.answered(line, found[1])
+            else:
+                self.sent(line, found[1][2].decode())
+
+    def sent(self, line: Line, rpc: str) -> None:
+        over = rpc in self.answers or rpc not in self.due or self.now > self.due[rpc]
+        assert not over, "rule 1: sent for an RPC that is over"
+        before = self.out.get(rpc)
+        assert before is None or before.ended or before.disconnecting, "two out at once"
+        assert not self.once.get(rpc, False), "rule 2: it may have run before"
+        assert self.now <= self.told_off.get(line.port, self.now) + 3050, "rule 3"
+        self.out[rpc] = line
+        if rpc in self.once:
+            self.once[rpc] = True
+
+    def answered(self, line: Line, answer: object) -> None:
+        rpc = self.asked[id(line)].pop(0)
+        assert rpc not in self.answers, "rule 1: a second answer"
+        if isinstance(answer, bytes) and not isinstance(answer, Fault):
+            assert answer.startswith(f"{rpc}:".encode()), "a value made for another RPC"
+        self.answers[rpc] = answer
+
+    def left(self, line: Line) -> None:
+        """Gone, or maybe so: from now on nothing may be sent for what it asked."""
+        for rpc in self.asked[id(line)]:
+            del self.due[rpc]
+        self.clients.remove(line)
+
+    def step(self) -> None:
+        rng = self.rng
+        act = rng.random()
+        if act < 0.25:
+            self.ask()
+        elif act < 0.7 and self.out:
+            for rpc in rng.sample(sorted(self.out), min(len(self.out), 9)):
+                self.reply(rpc, self.out.pop(rpc))
+        elif act < 0.74:
+            port = rng.choice([7000, 7001, 7002, ORIGIN_PORT])
+            self.network.ways[port] = rng.choice(["up"] * 6 + ["refused", "silent"])
+        elif act < 0.78 and self.clients:
+            line = rng.choice(self.clients)
+            if rng.random() < 0.5:
+                self.left(line)
+                line.end()
+            else:
+                line.protocol.readConnectionLost()
+                self.left(line)
+        elif act < 0.82:
+            self.discovery()
+        elif act < 0.83 and self.clients:
+            line = rng.choice(self.clients)
+            line.reads = not line.reads
+        elif act < 0.86:
+            for connector in self.network.dials:  # some silent dials come up late
+                if not connector.over and rng.random() < 0.3:
+                    connector.up()
+        elif act < 0.88 and self.network.lines:
+            rng.choice(self.network.lines).end()
+        else:
+            self.s.pass_time(rng.choice([1, 5, 30, 100, 300]))
+        self.settle()
+
+    def settle(self) -> None:
+        for line in self.network.lines + self.clients:
+            line.take()
+        for line in self.clients:
+            heads = [self.due[rpc] for rpc in self.asked[id(line)][:1]]  # the others wait behind it
+            late = line.reads and not line.paused and any(self.now > at + 50 for at in heads)
+            assert not late, "rule 1: not answered before the hard deadline"
+        assert not any(line.disconnecting for line in self.clients), "a client's connection was closed"
+
+    def ask(self) -> None:
+        rng = self.rng
+        if not self.clients or rng.random() < 0.15:
+            line = self.s.client()
+            self.clients.append(line)
+            self.asked[id(line)] = []
+        line, data = rng.choice(self.clients), b""
+        for _ in range(rng.choice([1, 1, 1, 8])):
+            self.count += 1
+            rpc, wait = f"r{self.count}", rng.choice([30, 300, 900])
+            method = rng.choice(["read", "once"])
+            if method == "once":
+                self.once[rpc] = False
+            self.asked[id(line)].append(rpc)
+            self.due[rpc] = self.now + wait
+            if rng.random() < 0.2:
+                value = rng.randbytes(rng.choice([0, 10, 65536]))
+                extras = f"c={method},d={wait},size={len(value)}"
+                data += command(b"OBJ.SET", b"key", rpc.encode(), extras.encode(), value)
+            else:
+                data += get(rpc, f"key{rng.randrange(40)}", method, wait)
+        while data:
+            piece = rng.choice([len(data), len(data), rng.randint(1, len(data))])
+            line.say(data[:piece])
+            data = data[piece:]
+
+    def reply(self, rpc: str, line: Line) -> None:
+        rng = self.rng
+        if line.ended or line.disconnecting:
+            return
+        value, never = f"{rpc}:".encode() + rng.randbytes(rng.choice([3, 3, 65000])), False
+        kind = rng.choice(["value"] * 12 + ["miss", "miss", "busy", "error", "rubbish", "break", "silence"])
+        if line.port == ORIGIN_PORT:
+            status, extra = {"busy": (503, b"X-Not-Run: 1\r\n"), "error": (500, b"")}.get(kind, (200, b""))
+            never = kind == "busy"
+            data = b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n%b" % (status, extra, len(value), value)
+        elif kind == "miss":
+            never, data = True, b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
+        elif kind == "busy":
+            never, data = True, b"-BUSY\r\n"
+        else:
+            data = command(value, b"hit", b"outstanding=1,x=?")
+            data = b"-ERR failed inflight=3\r\n" if kind == "error" else data
+        if kind == "rubbish":
+            data = rng.randbytes(20) + b"\r\n"
+        if kind == "silence":
+            self.out[rpc] = line
+            return
+        if never and rpc in self.once:
+            self.once[rpc] = False
+        cut = rng.randint(0, len(data))
+        line.say(data[:cut])
+        if kind == "break":
+            line.end()
+        else:
+            line.say(data[cut:])
+
+    def discovery(self) -> None:
+        rng = self.rng
+        for line in self.network.to(DISCOVERY):
+            line.say(b"" if line.got else b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            line.got = b"called"
+            port = rng.choice([7000, 7001, 7002])
+            health = rng.choice(["in_service"] * 8 + ["terminating", "terminated"])
+            told = {"seq": 6, "whole": False, "hosts": [listed_host(f"s{port - 7000}", port, health=health)]}
+            text = rng.choice([json.dumps(told).encode()] * 4 + [b"", b"{"]) + b"\n"
+            line.say(b"%x\r\n%b\r\n" % (len(text), text))
+            if len(text) > 5 and not line.disconnecting:
+                self.told_off.pop(port, None)
+                if health != "in_service":
+                    self.told_off[port] = self.now
+            if rng.random() < 0.1:
+                line.end()
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,117 @@
+"""The core's parts, plain and under seeded random runs."""
+
+import random
+
+import pytest
+
+from hookpitch.core.deadlines import Deadlines
+from hookpitch.core.resp import Fault, Malformed, Parser, Plain, bulk, command
+from hookpitch.core.ring import SMALL, Ring
+from hookpitch.core.slots import Slots
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_ring_gives_back_what_it_took_in_order(seed: int) -> None:
+    rng, ring, model = random.Random(seed), Ring(), b""
+    for _ in range(3000):
+        if rng.random() < 0.5:
+            data = rng.randbytes(rng.choice([0, 1, 7, 300, 5000]))
+            ring.write(data)
+            model += data
+        else:
+            count = rng.choice([1, 10, 4000, 20000])
+            assert ring.read(count) == model[:count]
+            model = model[count:]
+        at = rng.randrange(len(model) + 1)
+        assert len(ring) == len(model) and ring.peek(50, at) == model[at : at + 50]
+        assert ring.line_end(at) == model.find(b"\n", at)
+    ring.read(len(ring))
+    assert ring.room <= 16 * SMALL
+
+
+def parse(data: bytes, rng: random.Random, commands_only: bool = False) -> list[object]:
+    """All values, the bytes coming in pieces."""
+    ring, values = Ring(), []
+    parser = Parser(ring, commands_only)
+    while data:
+        piece = rng.randint(1, rng.choice([1, 5, 100, 70000]))
+        ring.write(data[:piece])
+        data = data[piece:]
+        while True:
+            found, value = parser.next()
+            if not found:
+                break
+            values.append(value)
+    assert parser.between
+    return values
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_values_come_whole_however_they_are_split(seed: int) -> None:
+    rng = random.Random(seed)
+    big = rng.randbytes(65536)
+    sent = b"*3\r\n" + bulk(big) + bulk(None) + bulk(b"") + b"+OK\r\n-BUSY 5\r\n:-7\r\n*-1\r\n*0\r\n"
+    sent += b"*1\r\n*1\r\n" + bulk(b"\r\n")
+    assert parse(sent, rng) == [[big, None, b""], b"OK", b"BUSY 5", -7, None, [], [[b"\r\n"]]]
+    sent = command(b"PING") + command(b"OBJ.SET", b"k", big)
+    assert parse(sent, rng, True) == [[b"PING"], [b"OBJ.SET", b"k", big]]
+
+
+def test_simple_strings_and_errors_are_told_apart() -> None:
+    values = parse(b"+OK\r\n-OK\r\n", random.Random(1))
+    assert [type(v) for v in values] == [Plain, Fault]
+
+
+@pytest.mark.parametrize("data", [
+    b"PING\r\n", b"+PING\r\n", b"*1\r\n:1\r\n", b"*1\r\n$-1\r\n", b"*99999\r\n", b"*1\r\n$65537\r\n",
+    b"*x\r\n", b"*1\n", b"*1\r\n$1\r\nabc", b"*" + b"1" * 5000, b"*1\r\n*1\r\n$1\r\na\r\n", b"\x16\x03\x01",
+])  # fmt: skip
+def test_what_is_no_command_is_malformed(data: bytes) -> None:
+    with pytest.raises(Malformed):
+        parse(data, random.Random(1), True)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_bytes_break_the_parser(seed: int) -> None:
+    rng = random.Random(seed)
+    data = bytearray(b"*2\r\n$3\r\nGET\r\n$1\r\nk\r\n*3\r\n$1\r\na\r\n$-1\r\n$1\r\nb\r\n" * 5)
+    for _ in range(rng.randint(1, 5)):
+        data[rng.randrange(len(data))] = rng.choice(b"*$:+-0129\r\nx\xff")
+    ring = Ring()
+    parser = Parser(ring, rng.random() < 0.5)
+    try:
+        for byte in data:
+            ring.write(bytes([byte]))
+            while parser.next()[0]:
+                pass
+    except Malformed:
+        pass
+
+
+def test_a_freed_number_names_nothing() -> None:
+    slots: Slots[str] = Slots()
+    a, b = slots.add("a"), slots.add("b")
+    slots.free(a)
+    c = slots.add("c")
+    assert (slots.get(a), slots.get(b), slots.get(c), len(slots)) == (None, "b", "c", 2)
+    slots.free(a)
+    assert slots.get(c) == "c" and slots.all() == ["c", "b"]
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_deadlines_run_in_order_and_dropped_ones_never(seed: int) -> None:
+    rng, armed, ran = random.Random(seed), [], []
+    deadlines = Deadlines(armed.append)
+    held, due = [], []
+    for n in range(500):
+        at = rng.randrange(1000)
+        held.append((deadlines.add(at, lambda now, n=n, at=at: ran.append((at, n))), at, n))
+        if rng.random() < 0.6:
+            deadlines.drop(held.pop(rng.randrange(len(held)))[0])
+    due = sorted((at, n) for _, at, n in held)
+    assert len(deadlines) == len(due) and armed[-1] <= due[0][0]
+    deadlines.run(500)
+    assert ran == [d for d in due if d[0] <= 500]
+    assert armed[-1] == next(d[0] for d in due if d[0] > 500)
+    deadlines.run(2000)
+    assert ran == due and not len(deadlines)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from fleet import ORIGIN, Fleet, drawn, entry
+from fleet import DISCOVERY, ORIGIN, Fleet, Storm, drawn, entry
 
 from hookpitch.balancer.interface import ListKind
 
@@ -32,3 +32,20 @@
             fleet.step()
         runs.append((fleet.sends, fleet.answers, fleet.logs))
     assert runs[0] == runs[1]
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_rules_hold_on_sockets_whatever_the_peers_do(seed: int) -> None:
+    storm = Storm(seed)
+    for _ in range(500):
+        storm.step()
+    for line in storm.clients:
+        line.reads = True
+    storm.s.pass_time(1100)
+    storm.settle()
+    assert not any(storm.asked[id(line)] for line in storm.clients), "an RPC was lost"
+    host, counts = storm.s.node.host, storm.s.counters.counts
+    assert not len(host.rpcs), "records outlive their RPCs"
+    assert not [name for name in counts if name.startswith("broken")] and counts["rpcs.completed"] > 10
+    held = [x for x in storm.network.lines if not x.ended] + [d for d in storm.network.dials if not d.over]
+    assert storm.s.node.pools.held == sum(x.port != DISCOVERY for x in held), "descriptors are counted wrong"
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,374 @@
+"""The node on in-memory sockets, plain cases: each failure met so far, and what peers may do."""
+
+import json
+
+from fleet import DISCOVERY, ORIGIN_PORT, Sockets, get, listed_host
+
+from hookpitch.balancer.interface import State
+from hookpitch.core.resp import bulk, command
+from hookpitch.net.wire import CHUNK
+
+VALUE = b"*3\r\n" + bulk(b"v") + bulk(b"hit") + bulk(b"outstanding=1,recent_ms=2.5")
+MISS = b"*3\r\n$-1\r\n" + bulk(b"miss") + b"$-1\r\n"
+PORTS = (7000, 7001)
+
+
+def serve(s: Sockets, reply: bytes = VALUE, ms: float = 1.0) -> list[list[bytes]]:
+    """Every cache answers what it was asked; the commands, in order of ports."""
+    asked = []
+    s.pass_time(ms)
+    for port in PORTS:
+        for line in s.network.to(port):
+            data = line.take()
+            if data:
+                asked.append(data.split(b"\r\n")[2::2])
+                line.say(reply)
+    return asked
+
+
+def origin(s: Sockets, answer: bytes) -> bytes:
+    """The origin's answer to what it was asked."""
+    for line in s.network.to(ORIGIN_PORT):
+        data = line.take()
+        if data:
+            line.say(answer)
+            return data
+    return b""
+
+
+def http(status: int, body: bytes = b"", extra: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), extra, body)
+
+
+def watch(s: Sockets, *lines: object) -> None:
+    """Discovery answers the call that is out, or goes on with it."""
+    line = s.network.to(DISCOVERY)[-1]
+    if line.take():
+        line.say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for told in lines:
+        data = (told if isinstance(told, bytes) else json.dumps(told).encode()) + b"\n"
+        line.say(b"%x\r\n%b\r\n" % (len(data), data))
+
+
+def test_an_rpc_goes_to_a_cache_and_its_value_back() -> None:
+    s = Sockets()
+    c = s.client()
+    c.say(command(b"PING") + get("r1"))
+    (words,) = serve(s)
+    assert words[:3] == [b"OBJ.GET", b"91f03b7c55d20a64", b"r1"]
+    extras = words[3].split(b",")
+    assert extras[0] == b"c=read" and 300 <= int(extras[1].removeprefix(b"d=")) <= 400
+    assert c.take() == b"+PONG\r\n" + bulk(b"v")
+    c.say(get("r2"))
+    serve(s)
+    assert c.take() == bulk(b"v")
+    assert len(s.network.to(7000) + s.network.to(7001)) == 1  # the connection was used again
+
+
+def test_a_miss_goes_on_to_the_origin_and_a_write_straight_there() -> None:
+    s = Sockets()
+    c = s.client()
+    c.say(get("r1"))
+    serve(s, MISS)
+    s.pass_time(1)
+    asked = origin(s, http(200, b"from origin", b"X-Load: outstanding=3\r\n"))
+    assert asked.startswith(b"GET /91f03b7c55d20a64 HTTP/1.1") and b"\r\nX-Request-Id: r1\r\n" in asked
+    assert b"X-Extras: c=read,d=900\r\n" in asked and c.take() == bulk(b"from origin")
+    c.say(command(b"OBJ.SET", b"a b/", b"r2", b"c=read,d=900", b"\x00\r\n"))
+    s.pass_time(1)
+    asked = origin(s, http(200, b"receipt"))
+    assert asked.startswith(b"PUT /a%20b%2F HTTP/1.1") and asked.endswith(b"\r\n\r\n\x00\r\n")
+    assert c.take() == bulk(b"receipt") and len(s.network.to(ORIGIN_PORT)) == 1
+
+
+def test_what_the_origin_answers() -> None:
+    never = b"X-Not-Run: 1\r\n"
+    cases = [(http(500), b"-ERR"), (http(503, extra=never), b"-BUSY"), (http(504), b"-ERR"),
+             (b"rubbish\r\n\r\n", b"-ERR"), (http(200, b"x" * 65537), b"-ERR")]  # fmt: skip
+    for answer, said in cases:
+        s = Sockets()
+        c = s.client()
+        c.say(command(b"OBJ.SET", b"k", b"r1", b"c=once,d=900", b"v"))
+        s.pass_time(1)
+        for _ in range(40):  # one that never ran may be sent again
+            origin(s, answer)
+            s.pass_time(10)
+        assert c.take().startswith(said), answer
+
+
+def test_answers_come_in_the_order_of_their_commands() -> None:
+    s = Sockets()
+    c = s.client()
+    c.say(get("r1", "aa") + get("r2", "bb") + command(b"PING"))
+    s.pass_time(1)
+    lines = {}
+    for port in PORTS:
+        for line in s.network.to(port):
+            lines[line.take().split(b"\r\n")[6]] = line
+    lines[b"r2"].say(b"*3\r\n" + bulk(b"second") + b"$-1\r\n$-1\r\n")
+    assert c.take() == b""
+    lines[b"r1"].say(b"*3\r\n" + bulk(b"first") + b"$-1\r\n$-1\r\n")
+    assert c.take() == bulk(b"first") + bulk(b"second") + b"+PONG\r\n"
+
+
+def test_a_refused_dial_never_ran_and_a_reset_may_have() -> None:
+    s = Sockets()
+    for port in PORTS:
+        s.network.ways[port] = "refused"
+    c = s.client()
+    c.say(get("r1", method="once"))
+    s.pass_time(5)
+    assert c.take() == b"" and s.counters.counts["tx.connect_failed"] == 2  # on to the origin
+    origin(s, http(200, b"v"))
+    assert c.take() == bulk(b"v")
+    s = Sockets()
+    c = s.client()
+    c.say(get("r1", method="once"))
+    s.pass_time(1)
+    for port in PORTS:
+        for line in s.network.to(port):
+            line.end()
+    assert c.take() == b"-ERR failed\r\n" and s.counters.counts["tx.sent"] == 1
+
+
+def test_a_connection_that_breaks_before_the_last_byte_never_ran() -> None:
+    s = Sockets()
+    for port in PORTS:
+        s.network.ways[port] = "refused"
+    c = s.client()
+    s.network.ways.clear()
+    s.node.host.node.origin_kind = -1  # a write goes to a cache, large enough to leave in two pieces
+    c.say(command(b"OBJ.SET", b"k", b"r1", b"c=once,d=900", b"v" * CHUNK))
+    s.pass_time(1)
+    (line,) = [line for port in PORTS for line in s.network.to(port)]
+    assert 0 < len(line.got) == CHUNK
+    line.end()
+    assert s.counters.counts == s.counters.counts | {"tx.connect_failed": 1, "tx.sent": 2}
+
+
+def test_a_silent_dial_fails_in_time_and_what_waits_takes_the_first_free_connection() -> None:
+    s = Sockets(1)
+    s.network.ways[7000] = "silent"
+    c = s.client()
+    c.say(get("r1"))
+    s.pass_time(251)
+    assert s.counters.counts["tx.connect_failed"] == 1
+    s = Sockets(1)
+    c = s.client()
+    c.say(get("r1"))
+    s.pass_time(1)
+    s.network.ways[7000] = "silent"
+    c.say(get("r2"))
+    (line,) = s.network.to(7000)
+    line.say(VALUE)
+    assert b"r2" in line.take()[len(command(b"OBJ.GET")) :]  # written behind r1's answer, the dial still out
+    line.say(VALUE)
+    assert c.take() == bulk(b"v") * 2
+
+
+def test_a_transmission_waited_out_closes_its_connection() -> None:
+    s = Sockets(1)
+    c = s.client()
+    c.say(get("r1", wait=100))
+    s.pass_time(1)
+    (line,) = s.network.to(7000)
+    s.pass_time(120)
+    assert line.ended and c.take().startswith(b"-") and not s.node.host.rpcs
+    assert s.counters.counts["tx.timeout"] == 1
+
+
+def test_idle_connections_are_not_used_near_their_end() -> None:
+    s = Sockets(1)
+    s.node.pools.idle_ms = 500.0
+    c = s.client()
+    c.say(get("r1"))
+    serve(s)
+    (line,) = s.network.to(7000)
+    s.pass_time(501)
+    assert line.ended
+    c.say(get("r2"))
+    assert len(serve(s)) == 1
+
+
+def test_answers_of_no_known_form_are_failures() -> None:
+    short, wrong = b"*2\r\n$1\r\nv\r\n$-1\r\n", b"*3\r\n:1\r\n$-1\r\n$-1\r\n"
+    for answer in (b"-SYNTAX\r\n", b"+OK\r\n", short, b"rubbish\r\n", wrong):
+        s = Sockets(1)
+        c = s.client()
+        c.say(get("r1", method="once"))
+        serve(s, answer)
+        assert c.take() == b"-ERR failed\r\n", answer
+    s = Sockets(1)
+    c = s.client()
+    c.say(get("r1"))
+    serve(s, b"-ERR failed outstanding=5,recent_ms=1\r\n")
+    assert s.node.host.node.servers["s0"].load > 1  # the report at an error's end was read
+
+
+def test_an_answer_nobody_asked_for_ends_the_connection() -> None:
+    s = Sockets(1)
+    c = s.client()
+    c.say(get("r1"))
+    serve(s, VALUE + VALUE)
+    s.pass_time(1)
+    assert s.network.to(7000) == [] and c.take().startswith(b"-")
+
+
+def test_malformed_input_is_told_so_and_closed_after_the_answers_due() -> None:
+    s = Sockets()
+    c = s.client()
+    c.say(get("r1") + b"GET / HTTP/1.1\r\n")
+    serve(s)
+    assert c.take().startswith(bulk(b"v") + b"-ERR ")
+    s.pass_time(1)
+    assert c.ended
+
+
+def test_wrong_commands_are_told_so_and_the_connection_goes_on() -> None:
+    s = Sockets()
+    c = s.client()
+    for words in ([b"FLUSHALL"], [b"OBJ.GET", b"k"], [b"OBJ.GET", b"k", b"r", b"c=unheard,d=9"],
+                  [b"OBJ.GET", b"k", b"r", b"c=read,d=nan"], [b"OBJ.GET", b"k", b"r", b"c=read,d=-1"],
+                  [b"OBJ.SET", b"k", b"r", b"c=read,d=9"], [b"OBJ.GET", b"", b"", b"\xff=,"]):  # fmt: skip
+        wrong = command(*words)
+        c.say(wrong)
+        assert c.take().startswith(b"-ERR "), wrong
+    c.say(command(b"PING", b"there") + command(b"INFO"))
+    assert c.take().startswith(bulk(b"there") + b"$") and not s.node.host.rpcs
+
+
+def test_a_client_that_left_is_sent_nothing_and_what_it_asked_is_called_off() -> None:
+    s = Sockets()
+    c = s.client()
+    c.say(get("r1"))
+    s.pass_time(1)
+    c.end()
+    s.pass_time(1)
+    assert not s.network.to(7000) + s.network.to(7001) and not s.node.host.rpcs
+
+
+def test_after_a_fin_what_is_out_may_answer_and_nothing_further_is_sent() -> None:
+    for reply, said in ((VALUE, bulk(b"v")), (MISS, b"-ERR failed\r\n")):
+        s = Sockets()
+        c = s.client()
+        c.say(get("r1"))
+        s.pass_time(1)
+        c.protocol.readConnectionLost()
+        serve(s, reply)
+        assert c.take() == said
+        s.pass_time(2000)
+        assert c.ended and s.counters.counts["tx.sent"] == 1 and not s.node.host.rpcs
+
+
+def test_a_client_that_does_not_read_waits_and_then_is_cut_off() -> None:
+    s = Sockets(memory_mb=64)
+    c, other = s.client(), s.client()
+    c.reads = False
+    big = b"*3\r\n" + bulk(b"x" * 65536) + b"$-1\r\n$-1\r\n"
+    for i in range(2000):
+        c.say(get(f"r{i}"))
+        serve(s, big, 0)
+        if c.paused:
+            break
+    assert c.paused and 1 << 20 < len(c.protocol.outward) < 2 << 20
+    c.reads = True
+    assert len(c.take()) > 1 << 20 and not c.paused
+    s.node.clients.memory = 1 << 20
+    c.reads = False
+    for i in range(40):
+        c.say(get(f"s{i}") if not c.paused else b"")
+        serve(s, big, 0)
+    s.pass_time(1)
+    assert c.ended and not other.ended
+
+
+def test_idle_clients_make_room_for_new_ones() -> None:
+    s = Sockets(sockets=64)
+    lines = [s.client() for _ in range(60)]
+    s.pass_time(1)
+    assert len(s.node.clients.open) == 28 and not lines[-1].ended
+
+
+def test_without_descriptors_idle_connections_go_first_then_rpcs_are_exhausted() -> None:
+    s = Sockets()
+    s.node.pools.most = 1
+    c = s.client()
+    for key in ("aa", "bb"):
+        c.say(get(key, key))
+        s.pass_time(1)
+    assert s.node.pools.held == 1 and s.counters.counts["dials.no_room"] >= 1
+    serve(s)
+    s.pass_time(500)
+    c.say(get("r3", "cc"))
+    serve(s)
+    assert b"$1\r\nv" in c.take() and s.node.pools.held <= 2
+
+
+def test_discovery_is_followed_and_a_dial_may_change() -> None:
+    s = Sockets()
+    assert s.network.to(DISCOVERY)[0].got.startswith(b"GET /v1/servers?follow=1&since=5 HTTP/1.1\r\nHost: ")
+    watch(s, {"seq": 6, "whole": False, "hosts": [listed_host("s0", 7001), listed_host("s1", 7000)]}, b"")
+    c = s.client()
+    c.say(get("r1"))
+    s.pass_time(1)
+    (asked,) = [p for p in PORTS if s.network.to(p)]
+    home = "s0" if s.node.host.node.servers["s0"].live else "s1"
+    assert {"s0": 7001, "s1": 7000}[home] == asked
+    watch(s, {"seq": 7, "whole": False, "hosts": [listed_host(home, asked, health="terminating")]})
+    assert s.node.host.node.servers[home].state == State.DRAINING
+    serve(s)
+    assert c.take() == bulk(b"v")  # what it had is finished there
+    s.pass_time(1)
+    c.say(get("r2"))
+    serve(s)
+    assert [p for p in PORTS if s.network.to(p)] != [asked]
+
+
+def test_a_watch_that_ends_lies_or_falls_silent_is_asked_for_anew() -> None:
+    bad = [b"{", b"[]", b'{"seq":1}', b'{"seq":9,"whole":true,"hosts":[{"host":"x"}]}', b"\xff", b"[" * 99999]
+    for line in bad:
+        s = Sockets()
+        watch(s, line)
+        assert s.counters.counts["lists.failed"] == 1, line[:20]
+        s.pass_time(1000)
+        assert len(s.network.to(DISCOVERY)) == 1
+    s = Sockets()
+    watch(s, {"seq": 6, "whole": True, "hosts": s.hosts})
+    s.pass_time(4000)
+    watch(s, b"")
+    s.pass_time(4300)
+    assert "lists.failed" not in s.counters.counts
+    s.pass_time(200)
+    assert s.counters.counts["lists.failed"] == 1
+    s.pass_time(1000)
+    line = s.network.to(DISCOVERY)[-1]
+    assert b"since=6" in line.take()
+    line.say(http(503))
+    assert s.counters.counts["lists.failed"] == 2
+
+
+def test_a_node_that_leaves_serves_on_then_answers_what_it_took() -> None:
+    s = Sockets()
+    idle, busy, halfway = s.client(), s.client(), s.client()
+    s.node.leave()
+    s.pass_time(400)
+    assert not idle.ended
+    busy.say(get("r1"))
+    halfway.say(get("r2")[:40])
+    s.pass_time(101)
+    assert idle.ended and not busy.ended and not s.network.hasStopped
+    halfway.say(get("r2")[40:])
+    serve(s)
+    assert busy.take() == halfway.take() == bulk(b"v")
+    s.pass_time(1)
+    assert busy.ended and halfway.ended and s.network.hasStopped
+
+
+def test_a_node_that_leaves_ends_in_time_whatever_its_clients_do() -> None:
+    s = Sockets()
+    s.client().say(b"*4\r\n")
+    s.node.leave()
+    s.pass_time(1649)
+    assert not s.network.hasStopped
+    s.pass_time(2)
+    assert s.network.hasStopped
