A reset leaves a server warm; refused by most, a node suspects its own network

Each cache had broken two connections in a row and was taken for dead and cold for 20 s (decisions.py tx_ended), and with no warm cache known the tokens of cold ones never grew (_beat). On sockets connections break more easily than processes. Now only a refusal after a failure tells of a death, not while most caches fail; and a node that knows no warm cache goes by its own part of what comes in.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -160,13 +160,12 @@
         self.closing, self.freed = deque[Server](), deque[Server]()
         self.young, self.old = dict[str, None](), dict[str, None]()  # keys asked for, in two generations
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
-        self.armed, self.aged_at, self.points_per_size = FAR, now, 0.0
+        self.armed, self.aged_at, self.points_per_size, self.beat_at, self.warm_rate = FAR, now, 0.0, now, 0.0
         self.asked, self.turned, self.pressure, self.shed = 1, 0, 0.0, 0.0  # shed: turned away at the door
         gains, n = sorted(m.gain for m in d.methods), len(d.methods)
         self.bands = {m.name: (gains.index(m.gain) / n, gains.count(m.gain) / n) for m in d.methods}
         self.spare = self.overage_gain = d.overage_gain  # spare: the part let in of what is over a share
-        self.next_beat, self.beat_at, self.warm_rate = now + self.window, now, 0.0
-        self.next_round = now + ROUND_MS * (1 + self._chance())
+        self.next_beat, self.next_round = now + self.window, now + ROUND_MS * (1 + self._chance())
         self.todo, self.retract, self.news = deque[Rpc](), deque[Tx](), deque[str]()
 
     # ---- inputs: they update what is known, nothing else
@@ -251,9 +250,10 @@
             s.answered_at = now
             s.limit = max(s.least, min(s.limit, 0.8 * (len(s.live) + 1)) if s.live else s.limit / 2)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
-            if outcome != Outcome.ERROR and s.failures and s.started < tx.sent:
-                # Danger: a server that refuses twice died and comes back cold, maybe unannounced. One refusal
-                # tells no more than that its table of connections was full.
+            # Danger: a server that refuses after a failure died and comes back cold, maybe unannounced. A
+            # reset tells of one connection, one refusal of a full table, most servers' of our own network.
+            few = 2 * sum(c.failures > 0 for c in self.caches) <= len(self.caches)
+            if outcome == Outcome.CONNECT_FAILED and s.failures and s.started < tx.sent and few:
                 self._cool(s, now)
             self._strike(s)
         elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent and not tx.counted:
@@ -450,9 +450,7 @@
                     continue
                 s.off_until = now + s.backoff
                 return s
-            if self._room(s):
-                return s
-            if crowded:  # Danger: going on means a miss, and misses flood the origin.
+            if self._room(s) or crowded:  # Danger: going on means a miss, and misses flood the origin.
                 return s
             busy = busy or s
         return busy
@@ -583,9 +581,9 @@
                 yield s
 
     def _beat(self) -> None:  # rates, once a window of rule 4
-        span, self.beat_at = max(self.now - self.beat_at, 1.0), self.now
-        self.next_beat = self.now + self.window
-        late, self.asked, self.turned = self.turned / self.asked, 1, 0
+        now, span, self.beat_at = self.now, max(self.now - self.beat_at, 1.0), self.now
+        self.next_beat = now + self.window
+        late, asked, self.asked, self.turned = self.turned / self.asked, self.asked, 1, 0
         self.pressure = max(late, self.pressure / 2)
         # Danger: what is over a share is let in by all nodes at once when the servers have just caught up.
         more = min(1.0, self.spare + self.overage_gain / 4)
@@ -598,13 +596,15 @@
                 if line:  # Danger: a line of RPCs that have long had their answer
                     line[:] = sorted(place for place in line if place[3].line)
             # Danger: each of hundreds of nodes keeps a connection to each server, whose table is full.
-            if s.open and not s.live and self.now - s.last > self.idle:
+            if s.open and not s.live and now - s.last > self.idle:
                 s.open = False
                 self.closing.append(s)
             if s.state == State.READY and not s.off:
-                s.ok = self.now >= s.cold_until
+                s.ok = now >= s.cold_until
         warm = [s for s in self.servers.values() if s.ok and s is not self.origin]
-        self.warm_rate = sum(s.rate for s in warm) / sum(s.size for s in warm) if warm else self.warm_rate
+        # Danger: a node that starts among cold caches alone would send them nothing until they are warm.
+        known = self.warm_rate or 1000 * asked / span / max(1.0, sum(s.size for s in self.caches))
+        self.warm_rate = sum(s.rate for s in warm) / sum(s.size for s in warm) if warm else known
 
     def _round(self) -> None:  # the mechanism's, over caches heard and warm; others count at the mean
         # Danger: hundreds of nodes each move keys on a few answers' noise, and every cache misses them. A
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -126,3 +126,37 @@
         assert f.answers[f.arrive("k")] == "exhausted"  # no list yet
         f.listed([])
         assert f.answers[f.arrive("")] == "exhausted"
+
+
+def test_resets_tell_of_connections_and_leave_a_server_warm() -> None:
+    f = fleet(4)
+    victim = f.txs[f.arrive("k")][0]["server"]
+    f.end("rpc1", Outcome.RESET)
+    f.end("rpc1", Outcome.COMPLETED)
+    f.end(f.arrive("k"), Outcome.RESET)
+    assert f.node.servers[victim].failures == 2 and f.node.servers[victim].cold_until < f.now
+    f.end("rpc2", Outcome.COMPLETED)
+    f.end(f.arrive("k"), Outcome.CONNECT_FAILED)  # refused after failures: its process died
+    assert f.node.servers[victim].cold_until > f.now
+
+
+def test_refused_by_most_servers_a_node_suspects_its_own_network() -> None:
+    f = fleet(4)
+    for i in range(60):
+        rpc = f.arrive(f"k{i}")
+        while rpc in f.open and f.out:
+            f.end(rpc, Outcome.CONNECT_FAILED)
+    caches = [s for s in f.node.servers.values() if s is not f.node.origin]
+    assert sum(s.off for s in caches) >= 3 and sum(s.cold_until > f.now for s in caches) <= 2
+
+
+def test_a_node_that_starts_among_cold_caches_alone_serves_some() -> None:
+    f = Fleet(deployment())
+    cold = [entry(f"s{i}", started=f.now - 1) for i in range(4)]
+    f.listed([*cold, entry("o1", kind=ORIGIN)], ListKind.CACHED)
+    for i in range(400):
+        rpc = f.arrive(f"k{i}")
+        if f.out:
+            f.end(rpc, Outcome.COMPLETED)
+        f.pass_time(20.0)
+    assert 20 < sum(a == "completed" for a in f.answers.values()) < 200
