--- a/hookpitch/core/resp.py
+++ b/hookpitch/core/resp.py
@@ -103,19 +103,20 @@
         raise Malformed("no such type")
 
     def _body(self) -> tuple[bool, Value]:
-        if len(self.ring) < self._bulk + 2:
+        if len(self.ring) < self._bulk + 2:  # with its line end
             return False, None
-        value = self.ring.read(self._bulk)
-        if self.ring.read(2) != b"\r\n":
+        value = self.ring.read(self._bulk + 2)
+        if value[-2:] != b"\r\n":
             raise Malformed("a bulk string is longer than told")
         self._bulk = -1
-        return True, value
+        return True, value[:-2]
 
 
 def _count(text: bytes, most: int, least: int = -1) -> int:
-    digits = text[1:] if text[:1] == b"-" else text
-    if not digits.isdigit() or len(digits) > 20 or not least <= (count := int(text)) <= most:
+    if not text.isdigit() and not (text[:1] == b"-" and text[1:].isdigit()):
         raise Malformed("a bad number")
+    if len(text) > 20 or not least <= (count := int(text)) <= most:
+        raise Malformed("a number out of bounds")
     return count
 
 
--- a/hookpitch/core/ring.py
+++ b/hookpitch/core/ring.py
@@ -55,9 +55,13 @@
             self._bytes = bytearray(SMALL)
 
     def read(self, count: int) -> bytes:
-        data = self.peek(count)
-        self.skip(count)
-        return data
+        start, end, used = self._head, self._head + count, self._used
+        if count >= used or end > len(self._bytes):
+            data = self.peek(count)
+            self.skip(count)
+            return data
+        self._head, self._used = end & (len(self._bytes) - 1), used - count
+        return bytes(self._bytes[start:end])
 
     def line_end(self, at: int = 0) -> int:
         """The offset of the first line feed from offset `at` on; -1 where there is none."""
