--- a/hookpitch/net/caches.py
+++ b/hookpitch/net/caches.py
@@ -219,7 +219,7 @@
                  origin: Callable[[Pool], Connection]) -> None:  # fmt: skip
         self.reactor, self.clock, self.host, self.most, self.origin = reactor, clock, host, most, origin
         self.dial_ms = host.deployment.dial_timeout_ms
-        self.idle_ms = min(IDLE_SHARE * host.deployment.conn_idle_ms, host.node.idle)
+        self.idle_ms = IDLE_SHARE * host.deployment.conn_idle_ms
         self.pools: dict[str, Pool] = {}
         self.held = 0
 
