Bursts take turns, leaving reads what came, stale connections go together, timers are monotonic

Found by reading the adapters for what may hold a node up, each with a test on in-memory sockets: hundreds of commands read at once were all decided before any deadline (now 32 at a time, 1024 of a client in work); a client's last request unread when a leaving node closed; a call of discovery that never came up was held for half of ask_within; idle connections reset by a returned machine were tried one by one; Twisted's timers go by the wall clock; a full log pipe blocks.

--- a/hookpitch/__main__.py
+++ b/hookpitch/__main__.py
@@ -7,6 +7,7 @@
 import resource
 import signal
 import sys
+import time
 
 from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
@@ -27,6 +28,8 @@
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     most = told.sockets if hard == resource.RLIM_INFINITY else min(told.sockets, hard)
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    # Danger: Twisted's timers go by the wall clock, and one set back would hold up every deadline.
+    reactor.seconds = time.monotonic
     counters = Counters()
     logger = log.start(told.name, counters)
     node = SocketNode(reactor, Clock(reactor), told, counters, logger)
--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -142,26 +142,30 @@
         # Danger: all of its RPCs are told of before anything is decided. Room that the first one leaves would
         # go to the next in line, and nothing may be sent for a client that has gone.
         deciding, self._deciding = self._deciding, True
-        for rpc in rpcs:
-            if not rpc.open or (rpc.parting and reads):
-                continue
-            # Danger: both ends of sending look alike. One who reads must get its answer, so what is out may
-            # end; for one who has gone nothing further may be sent.
-            rpc.parting = reads
-            if not reads:
-                self.counters.add("rpcs.client_left")
-                self._end(rpc)
-            elif not any(tx.written and not tx.done for tx in rpc.txs):
-                self._answer(rpc, b"-ERR failed\r\n", "errored")
-            self.node.client_left(now, str(rpc.number))
-            for tx in rpc.txs if not rpc.open else ():
-                if not tx.done:
-                    self.carrier.call_off(now, tx)
-                    self.tx_over(now, tx, Outcome.CANCELLED)
-            self._free(rpc)
-        self._deciding = deciding
+        try:
+            for rpc in rpcs:
+                if rpc.open and not (rpc.parting and reads):
+                    self._left(now, rpc, reads)
+        finally:
+            self._deciding = deciding
         self.decide(now)
 
+    def _left(self, now: float, rpc: Rpc, reads: bool) -> None:
+        # Danger: both ends of sending look alike. One who reads must get its answer, so what is out may end;
+        # for one who has gone nothing further may be sent.
+        rpc.parting = reads
+        if not reads:
+            self.counters.add("rpcs.client_left")
+            self._end(rpc)
+        elif not any(tx.written and not tx.done for tx in rpc.txs):
+            self._answer(rpc, b"-ERR failed\r\n", "errored")
+        self.node.client_left(now, str(rpc.number))
+        for tx in rpc.txs if not rpc.open else ():
+            if not tx.done:
+                self.carrier.call_off(now, tx)
+                self.tx_over(now, tx, Outcome.CANCELLED)
+        self._free(rpc)
+
     def listed(self, now: float, kind: ListKind, entries: list[Entry], dials: Mapping[str, str]) -> None:
         """A list of servers, or that none could be had."""
         self.counters.add(f"lists.{kind.name.lower()}")
--- a/hookpitch/net/caches.py
+++ b/hookpitch/net/caches.py
@@ -71,6 +71,9 @@
             # Danger: taken for never sent, an RPC that ran would run twice. Only what stands in our own ring
             # was surely not written whole.
             whole = not len(self.outward)
+            if whole:
+                # Danger: a machine that was cut off resets all connections from before, RPC after RPC.
+                self.pool.shut_idle()
             pools.host.tx_over(pools.clock.now(), tx, Outcome.RESET if whole else Outcome.CONNECT_FAILED)
 
 
--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from twisted.internet.interfaces import IHalfCloseableProtocol
@@ -18,6 +19,8 @@
 
 WORDS = {b"OBJ.GET": 4, b"OBJ.SET": 5}
 UNREAD_MOST = 1 << 20  # bytes of answers that a client may leave unread before its RPCs wait as well
+DUE_MOST = 1024  # commands of one client in work
+BATCH = 32  # commands taken at a time, before others have their turn
 
 
 @implementer(IHalfCloseableProtocol)
@@ -30,6 +33,7 @@
         self.rpcs: dict[int, Rpc] = {}  # open ones, by their place's id
         self.number = -1
         self.ending = self.lost = False  # ending: nothing more is read
+        self._taking = False
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
@@ -39,21 +43,35 @@
         self.clients.make_room()
 
     def came(self) -> None:
+        if self._taking or self.lost:
+            return
+        self._taking = True
         try:
-            while not self.ending:
-                found, words = self.parser.next()
-                if not found:
-                    break
-                if words:
-                    self._command(words)
+            self._take()
         except Malformed as fault:
             self.host.counters.add("clients.malformed")
             self._say(b"-ERR %b\r\n" % str(fault).encode())
             self.ending = True
+        finally:
+            self._taking = False
         if self.ending:
             self.inward.skip(len(self.inward))
         self._flush()
 
+    def _take(self) -> None:
+        for _ in range(BATCH):
+            if self.ending or self.paused:
+                return
+            found, words = self.parser.next()
+            if not found:
+                return
+            if words:
+                self._command(words)
+                if len(self.due) >= DUE_MOST:
+                    self.pauseProducing()
+        # Danger: hundreds of commands that came at once keep all deadlines waiting until each was decided.
+        self.clients.clock.deadlines.add(self.clients.clock.now(), lambda _: self.came())
+
     def _say(self, answer: bytes) -> None:
         self.due.append([answer])
 
@@ -97,11 +115,20 @@
             if not self.paused and not self.ending:
                 self.pauseProducing()
             self.clients.spare_memory()
+        self._resume()
         self._end()
 
-    def drained(self) -> None:
-        if self.paused and not self.ending:
+    def _resume(self) -> None:
+        eased = 2 * len(self.outward) <= UNREAD_MOST and 2 * len(self.due) <= DUE_MOST
+        if self.paused and eased and not self.ending and not self.lost:
             self.resumeProducing()
+            self.came()  # what was read before the pause
+
+    def drained(self) -> None:
+        if self.clients.leaving is not None and not self.lost and not self.ending:
+            # Danger: a request that stands unread in the kernel counts as taken.
+            getattr(self.transport, "doRead", lambda: None)()
+        self._resume()
         self._end()
 
     @property
@@ -115,9 +142,12 @@
             self.transport.loseConnection()
 
     def readConnectionLost(self) -> None:  # noqa: N802
-        self.ending = True
         self.host.client_left(self.clients.clock.now(), list(self.rpcs.values()), reads=True)
-        self._end()
+        with suppress(Malformed):
+            while not self.ending and self.parser.next()[0]:  # not begun yet, and nothing is sent any more
+                self._say(b"-ERR failed\r\n")
+        self.ending = True
+        self._flush()
 
     def writeConnectionLost(self) -> None:  # noqa: N802
         pass
--- a/hookpitch/net/discovery.py
+++ b/hookpitch/net/discovery.py
@@ -19,6 +19,7 @@
 
 BEAT_MS = 2000.0  # an empty line comes this often
 BEATS_MISSED = 2.2  # and a watch silent for more of them than this is lost
+DIALS = 4  # times the time-out of a dial to a server, for one to discovery
 LINE_MOST = 1 << 24  # bytes
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 
@@ -63,6 +64,8 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
+        # Danger: a discovery cut off never answers, and a watch that hangs would tell of no loss.
+        self.wait(self.discovery.host.deployment.ask_within_ms / 2)
         host, port = self.discovery.address
         target = f"/v1/servers?follow=1&since={self.discovery.seq}"
         headers = [("Host", f"{host}:{port}")]
@@ -88,11 +91,15 @@
             self.discovery.host.logger.info("discovery answers badly", why=str(fault)[:200])
             self.end()
 
+    def wait(self, ms: float) -> None:
+        """How long it may be silent from now on."""
+        clock = self.discovery.clock
+        clock.deadlines.drop(self.silence)
+        self.silence = clock.deadlines.add(clock.now() + ms, lambda _: self.end())
+
     def _lines(self) -> None:
         discovery = self.discovery
-        deadlines, now = discovery.clock.deadlines, discovery.clock.now()
-        deadlines.drop(self.silence)
-        self.silence = deadlines.add(now + BEATS_MISSED * BEAT_MS, lambda _: self.end())
+        self.wait(BEATS_MISSED * BEAT_MS)
         while (end := self.lines.line_end()) >= 0:
             line = self.lines.read(end + 1).strip()
             if line:
@@ -141,9 +148,7 @@
             self.current.end(quiet=True)
         watch = self.current = Watch(self)
         watch.connector = self.reactor.connectTCP(*self.address, _Dial(watch), timeout=None)
-        # Danger: a discovery cut off never answers, and a watch that hangs would tell of no loss.
-        until = now + self.host.deployment.ask_within_ms / 2
-        watch.silence = self.clock.deadlines.add(until, lambda _: watch.end())
+        watch.wait(DIALS * self.host.deployment.dial_timeout_ms)
 
     def told(self, line: bytes) -> None:
         seq, whole, entries, dials = read(line, self.host.deployment.kinds)
--- a/hookpitch/net/log.py
+++ b/hookpitch/net/log.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-import sys
-from typing import Any, TextIO
+import contextlib
+import os
+import stat
+from typing import Any
 
 import structlog
 from twisted.logger import LogLevel, globalLogPublisher
@@ -14,17 +16,17 @@
 
 
 class _Sink:
-    """Danger: a log that nobody reads any more must not end the node."""
+    """Danger: a log that nobody reads or holds any more must not stop the node. Lines are left out."""
 
-    def __init__(self, file: TextIO) -> None:
-        self._file = file
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        with contextlib.suppress(OSError):
+            if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+                os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> None:
-        try:
-            self._file.write(text)
-            self._file.flush()
-        except (OSError, ValueError):
-            pass
+        with contextlib.suppress(OSError):
+            os.write(self._descriptor, text.encode(errors="replace"))
 
     def flush(self) -> None:
         pass
@@ -38,7 +40,7 @@
             structlog.processors.add_log_level,
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=structlog.PrintLoggerFactory(file=_Sink(sys.stderr)),  # type: ignore[arg-type]
+        logger_factory=structlog.WriteLoggerFactory(file=_Sink(2)),  # type: ignore[arg-type]
     )
     logger = structlog.get_logger().bind(node=name)
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -253,9 +253,10 @@
         c = s.client()
         c.say(get("r1"))
         s.pass_time(1)
+        c.say(command(b"PING") * 32 + get("r2") * 3 + b"*1\r\n")  # more than is taken at a time
         c.protocol.readConnectionLost()
         serve(s, reply)
-        assert c.take() == said
+        assert c.take() == said + b"+PONG\r\n" * 32 + b"-ERR failed\r\n" * 3
         s.pass_time(2000)
         assert c.ended and s.counters.counts["tx.sent"] == 1 and not s.node.host.rpcs
 
@@ -282,6 +283,22 @@
     assert c.ended and not other.ended
 
 
+def test_a_burst_of_commands_leaves_others_their_turn_and_has_a_bound() -> None:
+    s = Sockets()
+    c, other = s.client(), s.client()
+    c.say(command(b"PING") * 100 + b"".join(get(f"r{i}") for i in range(3000)))
+    said = c.take()
+    assert len(c.protocol.due) + said.count(b"+PONG") == 32
+    other.say(command(b"PING"))
+    assert other.take() == b"+PONG\r\n"
+    for _ in range(2000):
+        s.pass_time(1)
+        serve(s)
+        assert len(c.protocol.due) <= 1024
+        said += c.take()
+    assert said.count(b"+PONG") == 100 and said.count(b"$1\r\nv") + said.count(b"-") == 3000
+
+
 def test_idle_clients_make_room_for_new_ones() -> None:
     s = Sockets(sockets=64)
     lines = [s.client() for _ in range(60)]
@@ -304,6 +321,28 @@
     assert b"$1\r\nv" in c.take() and s.node.pools.held <= 2
 
 
+def test_after_a_reset_older_idle_connections_are_not_tried_one_by_one() -> None:
+    s = Sockets(1)
+    c = s.client()
+    c.say(get("r1") + get("r2"))
+    serve(s)
+    assert len(s.network.to(7000)) == 2
+    c.say(get("r3"))
+    next(line for line in s.network.to(7000) if line.got).end()
+    s.pass_time(1)
+    assert not [line for line in s.network.to(7000) if not line.got]
+
+
+def test_a_call_of_discovery_that_never_comes_up_is_given_up_in_time() -> None:
+    s = Sockets()
+    s.network.ways[DISCOVERY] = "silent"
+    watch(s)
+    s.network.to(DISCOVERY)[0].end()
+    s.pass_time(2000)
+    dial = s.network.dials[-1]
+    assert dial.port == DISCOVERY and s.counters.counts["lists.failed"] >= 2
+
+
 def test_discovery_is_followed_and_a_dial_may_change() -> None:
     s = Sockets()
     assert s.network.to(DISCOVERY)[0].got.startswith(b"GET /v1/servers?follow=1&since=5 HTTP/1.1\r\nHost: ")
@@ -364,6 +403,19 @@
     assert busy.ended and halfway.ended and s.network.hasStopped
 
 
+def test_a_node_that_leaves_reads_what_came_before_it_closes() -> None:
+    s = Sockets()
+    c = s.client()
+    unread = [get("r1")]
+    c.doRead = lambda: c.say(unread.pop()) if unread else None
+    s.node.leave()
+    s.pass_time(501)
+    serve(s)
+    assert c.take() == bulk(b"v")
+    s.pass_time(1)
+    assert c.ended and s.network.hasStopped
+
+
 def test_a_node_that_leaves_ends_in_time_whatever_its_clients_do() -> None:
     s = Sockets()
     s.client().say(b"*4\r\n")
