--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -13,7 +13,7 @@
 from hookpitch.core.resp import bulk
 from hookpitch.core.slots import Slots
 
-CUSTOMER = b"billing"  # the name under which an RPC tells its customer
+CUSTOMER = b"t"  # the name under which an RPC tells its customer
 NO_REPORT: Report = {}
 ODD_LOGGED = 3  # lines for each kind of odd input
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -318,6 +318,7 @@
         {"name": "read", "soft_deadline_s": 0.4, "hard_deadline_s": 1.0, "idempotency": "retryable"},
         {"name": "once", "soft_deadline_s": 0.4, "hard_deadline_s": 1.0, "idempotency": "fragile"},
     ],
+    "customers": [{"name": "small", "quota_per_s": 1.0}],
     "host_types": ["std", "origin"],
     "family_info": {"mode": "aside", "origin_kind": 1},
     "limits": {"most_transmissions": 3, "cancelling": True, "dial_timeout_s": 0.25, "conn_idle_s": 60.0},
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -237,6 +237,17 @@
     assert c.take().startswith(bulk(b"there") + b"$") and not s.node.host.rpcs
 
 
+def test_a_customer_over_its_share_is_known_by_its_name() -> None:
+    s = Sockets()
+    c = s.client()
+    c.say(get("r1").replace(b"c=read,d=900", b"c=read,t=abc"))
+    serve(s)
+    full = s.node.host.node.shares["small"].tokens
+    c.say(get("r2").replace(b"c=read,d=900", b"c=read,t=small").replace(b"$12", b"$14"))
+    (words,) = serve(s)
+    assert words[3].startswith(b"c=read,t=small,d=") and s.node.host.node.shares["small"].tokens < full
+
+
 def test_a_client_that_left_is_sent_nothing_and_what_it_asked_is_called_off() -> None:
     s = Sockets()
     c = s.client()
