Empty and outdated lists are not taken; start-up is tested; a held address is waited for

Each with a test on in-memory sockets: a whole list without servers, or older than the one held (three times in a row, then discovery counts anew), is a bad answer; a body ended by the connection's end is whole unless its length was told. At the start an address still held by the process before is tried for three seconds.

--- a/hookpitch/__main__.py
+++ b/hookpitch/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import os
 import resource
@@ -18,6 +19,8 @@
 from hookpitch.net.node import SocketNode
 from hookpitch.net.start import post
 
+LISTEN_TRIES, LISTEN_PAUSE_S = 30, 0.1
+
 
 def main() -> int:
     try:
@@ -33,11 +36,16 @@
     counters = Counters()
     logger = log.start(told.name, counters)
     node = SocketNode(reactor, Clock(reactor), told, counters, logger)
-    try:
-        node.start()
-    except CannotListenError as fault:
-        print(f"hookpitch: cannot start: {fault}", file=sys.stderr)
-        return 2
+    for tries in range(LISTEN_TRIES):
+        try:
+            node.start()
+            break
+        except CannotListenError as fault:
+            # Danger: the process before may still hold the address for a moment.
+            if tries == LISTEN_TRIES - 1 or getattr(fault.socketError, "errno", 0) != errno.EADDRINUSE:
+                print(f"hookpitch: cannot start: {fault}", file=sys.stderr)
+                return 2
+            time.sleep(LISTEN_PAUSE_S)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(node.leave))
     gc.collect()
--- a/hookpitch/net/discovery.py
+++ b/hookpitch/net/discovery.py
@@ -21,6 +21,7 @@
 BEATS_MISSED = 2.2  # and a watch silent for more of them than this is lost
 DIALS = 4  # times the time-out of a dial to a server, for one to discovery
 LINE_MOST = 1 << 24  # bytes
+OLDER_MOST = 3  # lists older than the one held, before such a one is taken
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 
 
@@ -142,6 +143,7 @@
                  seq: int) -> None:  # fmt: skip
         self.reactor, self.clock, self.host, self.address, self.seq = reactor, clock, host, address, seq
         self.current: Watch | None = None
+        self.older = 0  # lists in a row that were older than the one held
 
     def watch(self, now: float) -> None:
         if self.current is not None:
@@ -152,7 +154,14 @@
 
     def told(self, line: bytes) -> None:
         seq, whole, entries, dials = read(line, self.host.deployment.kinds)
-        self.seq = max(self.seq, seq)
+        if whole and not entries:
+            # Danger: a discovery that has lost its data would empty the list of every node.
+            raise ValueError("a whole list without servers")
+        if seq < self.seq and self.older < OLDER_MOST:
+            # Danger: one that lags brings back servers long gone. One that insists has begun to count anew.
+            self.older += 1
+            raise ValueError(f"version {seq} is older than {self.seq}")
+        self.seq, self.older = seq, 0
         kind = ListKind.FULL if whole else ListKind.DELTA
         self.host.listed(self.clock.now(), kind, entries, dials)
 
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -33,9 +33,9 @@
         self.port: Any = None
 
     def start(self) -> None:
-        self.host.listed(self.clock.now(), ListKind.CACHED, list(self.post.known), self.post.dials)
         address, port = self.post.listen
         self.port = self.reactor.listenTCP(port, self.clients, backlog=BACKLOG, interface=address)
+        self.host.listed(self.clock.now(), ListKind.CACHED, list(self.post.known), self.post.dials)
         self.logger.info("serving", listen=f"{address}:{port}", servers=len(self.post.known))
 
     def leave(self) -> None:
--- a/hookpitch/net/origin.py
+++ b/hookpitch/net/origin.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from urllib.parse import quote
 
 import h11
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
 
 from hookpitch.balancer.interface import Outcome
 from hookpitch.core.host import Tx
@@ -37,6 +41,16 @@
         self.http.receive_data(self.inward.read(len(self.inward)))
         self._read()
 
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        if self.tx is not None and self.status and reason.check(ConnectionDone):
+            with suppress(h11.RemoteProtocolError):  # a body that only the connection's end ends
+                self.http.receive_data(b"")
+                while not isinstance(event := self.http.next_event(), h11.EndOfMessage):
+                    if isinstance(event, h11.Data):
+                        self.body += bytes(event.data)
+                self._whole()
+        super().connectionLost(reason)
+
     def _read(self) -> None:
         try:
             while True:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -374,6 +374,28 @@
     assert [p for p in PORTS if s.network.to(p)] != [asked]
 
 
+def test_lists_that_are_empty_or_old_are_not_taken() -> None:
+    s = Sockets()
+    old = {"seq": 3, "whole": True, "hosts": s.hosts[1:]}
+    for told in ({"seq": 9, "whole": True, "hosts": []}, old, old, old):
+        watch(s, told)
+        assert s.node.host.node.servers["s0"].state == State.READY and "lists.full" not in s.counters.counts
+        s.pass_time(3000)
+    watch(s, old)  # it insists: discovery counts anew
+    assert s.node.host.node.servers["s0"].state == State.GONE and s.node.discovery.seq == 3
+
+
+def test_a_body_that_the_connections_end_ends_is_whole_unless_its_length_was_told() -> None:
+    for head, said in ((b"", bulk(b"val")), (b"Content-Length: 9\r\n", b"-ERR failed\r\n")):
+        s = Sockets()
+        c = s.client()
+        c.say(command(b"OBJ.SET", b"k", b"r1", b"c=once,d=900", b"v"))
+        s.pass_time(1)
+        origin(s, b"HTTP/1.1 200 X\r\n" + head + b"\r\nval")
+        s.network.to(ORIGIN_PORT)[0].end()
+        assert c.take() == said and s.node.pools.held == 0
+
+
 def test_a_watch_that_ends_lies_or_falls_silent_is_asked_for_anew() -> None:
     bad = [b"{", b"[]", b'{"seq":1}', b'{"seq":9,"whole":true,"hosts":[{"host":"x"}]}', b"\xff", b"[" * 99999]
     for line in bad:
--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,86 @@
+"""What a node is told at its start, read or refused in one clear line."""
+
+import json
+import random
+import subprocess
+import sys
+from copy import deepcopy
+from pathlib import Path
+
+import pytest
+from fleet import SETTINGS, listed_host
+
+from hookpitch.net.start import Post, post
+
+TOLD = {
+    "name": "n3", "listen": "127.0.0.1:6379", "discovery": "127.0.0.2:8500", "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    "known": {"seq": 41, "whole": True, "hosts": [listed_host("s0", 7000, born_ms=1.7e12, block=3)]},
+    "settings": SETTINGS,
+}  # fmt: skip
+
+
+def start(folder: Path, told: object, **environment: str) -> Post:
+    path = folder / "node.json"
+    path.write_text(told if isinstance(told, str) else json.dumps(told))
+    return post({"PROXY_CONFIG": str(path)} | environment)
+
+
+def test_all_that_is_told_is_read(tmp_path: Path) -> None:
+    p = start(tmp_path, TOLD, PROXY_LISTEN="[::1]:7777")
+    assert (p.name, p.listen, p.discovery, p.sockets, p.memory_mb, p.seq) == (
+        "n3", ("::1", 7777), ("127.0.0.2", 8500), 1024, 192, 41)  # fmt: skip
+    assert p.deployment.seed == 0x8C1F30D27A5BE964 and p.deployment.must_ask and p.deployment.origin_kind == 1
+    assert p.deployment.dial_timeout_ms == 250.0 and p.deployment.conn_idle_ms == 60000.0
+    (e,) = p.known
+    assert (e.id, e.kind, e.cell, e.started_ms, p.dials) == ("s0", 0, 3, 1.7e12, {"s0": "127.0.0.1:7000"})
+
+
+@pytest.mark.parametrize(("path", "value", "said"), [
+    (["listen"], "6379", "listen"), (["listen"], None, "listen"), (["discovery"], "host:99999", "discovery"),
+    (["name"], "", "name"), (["seed"], "xyz", "seed"),
+    (["limits", "sockets"], 3, "sockets"),
+    (["limits", "memory_mb"], "much", "memory_mb"), (["limits"], [1], "limits"),
+    (["settings"], None, "settings"), (["settings", "methods"], [1], "setting"), (["settings", "methods"], None, "setting"),
+    (["settings", "rules"], 7, "setting"), (["known"], [], "list of servers"),
+    (["known", "hosts"], [{"host": "s0"}], "list of servers"), ([], "{", "node.json"), ([], "[1]", "node.json"),
+])  # fmt: skip
+def test_what_is_wrong_is_named(tmp_path: Path, path: list[str], value: object, said: str) -> None:
+    told: object = deepcopy(TOLD)
+    if path:
+        table = told
+        for name in path[:-1]:
+            table = table[name]
+        table[path[-1]] = value
+    else:
+        told = value
+    with pytest.raises(ValueError, match=said) as fault:
+        start(tmp_path, told)
+    assert "\n" not in str(fault.value)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_whatever_stands_there_is_read_or_refused(tmp_path: Path, seed: int) -> None:
+    rng, told = random.Random(seed), deepcopy(TOLD)
+    for _ in range(3):
+        table = told
+        while True:
+            key = rng.choice(sorted(table) if isinstance(table, dict) else range(len(table)))
+            if not isinstance(table[key], dict | list) or not table[key] or rng.random() < 0.3:
+                table[key] = rng.choice([None, -1, 1e999, "x", [], {}, [[]], True, "127.0.0.1:80"])
+                break
+            table = table[key]
+    try:
+        assert start(tmp_path, told).listen
+    except ValueError as fault:
+        assert "\n" not in str(fault)
+
+
+def test_a_broken_configuration_ends_the_program_with_one_line_and_2(tmp_path: Path) -> None:
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(TOLD | {"settings": {}}))
+    done = subprocess.run(
+        [sys.executable, "-m", "hookpitch"], env={"PROXY_CONFIG": str(path)}, capture_output=True, text=True,
+        cwd=Path(__file__).parent.parent, timeout=60, check=False,
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stderr == "hookpitch: cannot start: setting methods is missing\n"
