--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -38,12 +38,12 @@
 
 @pytest.mark.parametrize(("path", "value", "said"), [
     (["listen"], "6379", "listen"), (["listen"], None, "listen"), (["discovery"], "host:99999", "discovery"),
-    (["name"], "", "name"), (["seed"], "xyz", "seed"),
-    (["limits", "sockets"], 3, "sockets"),
-    (["limits", "memory_mb"], "much", "memory_mb"), (["limits"], [1], "limits"),
-    (["settings"], None, "settings"), (["settings", "methods"], [1], "setting"), (["settings", "methods"], None, "setting"),
-    (["settings", "rules"], 7, "setting"), (["known"], [], "list of servers"),
-    (["known", "hosts"], [{"host": "s0"}], "list of servers"), ([], "{", "node.json"), ([], "[1]", "node.json"),
+    (["name"], "", "name"), (["seed"], "xyz", "seed"), (["limits"], [1], "limits"),
+    (["limits", "sockets"], 3, "sockets"), (["limits", "memory_mb"], "much", "memory_mb"),
+    (["settings"], None, "settings"), (["settings", "methods"], [1], "setting"),
+    (["settings", "methods"], None, "setting"), (["settings", "rules"], 7, "setting"),
+    (["known"], [], "list of servers"), (["known", "hosts"], [{"host": "s0"}], "list of servers"),
+    ([], "{", "node.json"), ([], "[1]", "node.json"),
 ])  # fmt: skip
 def test_what_is_wrong_is_named(tmp_path: Path, path: list[str], value: object, said: str) -> None:
     told: object = deepcopy(TOLD)
