--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -160,7 +160,7 @@
         elif not any(tx.written and not tx.done for tx in rpc.txs):
             self._answer(rpc, b"-ERR failed\r\n", "errored")
         self.node.client_left(now, str(rpc.number))
-        for tx in rpc.txs if not rpc.open else ():
+        for tx in rpc.txs if not rpc.open and self.deployment.cancelling else ():
             if not tx.done:
                 self.carrier.call_off(now, tx)
                 self.tx_over(now, tx, Outcome.CANCELLED)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,6 +1,7 @@
 """The node on in-memory sockets, plain cases: each failure met so far, and what peers may do."""
 
 import json
+from dataclasses import replace
 
 from fleet import DISCOVERY, ORIGIN_PORT, Sockets, get, listed_host
 
@@ -258,6 +259,17 @@
     assert not s.network.to(7000) + s.network.to(7001) and not s.node.host.rpcs
 
 
+def test_where_nothing_may_be_called_off_a_gone_clients_transmission_ends_by_itself() -> None:
+    s = Sockets()
+    s.node.host.deployment = replace(s.node.host.deployment, cancelling=False)
+    s.node.host.node.cancelling = False
+    c = s.client()
+    c.say(get("r1"))
+    s.pass_time(1)
+    c.end()
+    assert len(serve(s)) == 1 and not s.node.host.rpcs and s.counters.counts["tx.completed"] == 1
+
+
 def test_after_a_fin_what_is_out_may_answer_and_nothing_further_is_sent() -> None:
     for reply, said in ((VALUE, bulk(b"v")), (MISS, b"-ERR failed\r\n")):
         s = Sockets()
