Reading stops later: what stands unread is taken, and its time runs

Found by reading clients.py: a client that left a megabyte unread, or had 1,024 commands in work, was not read from, and what it sent meanwhile would have been dated, and sent on, too late.

--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -18,8 +18,10 @@
 from hookpitch.net.wire import Wire
 
 WORDS = {b"OBJ.GET": 4, b"OBJ.SET": 5}
-UNREAD_MOST = 1 << 20  # bytes of answers that a client may leave unread before its RPCs wait as well
-DUE_MOST = 1024  # commands of one client in work
+# Danger: what stands unread in the kernel is taken all the same, and its time runs. Read late, it would be
+# sent after its deadline. So these bounds lie far beyond what a client has out in earnest.
+UNREAD_MOST = 1 << 23  # bytes of answers that a client may leave unread before its RPCs wait as well
+DUE_MOST = 4096  # commands of one client in work
 BATCH = 32  # commands taken at a time, before others have their turn
 
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -3,10 +3,12 @@
 import json
 from dataclasses import replace
 
+import pytest
 from fleet import DISCOVERY, ORIGIN_PORT, Sockets, get, listed_host
 
 from hookpitch.balancer.interface import State
 from hookpitch.core.resp import bulk, command
+from hookpitch.net import clients
 from hookpitch.net.wire import CHUNK
 
 VALUE = b"*3\r\n" + bulk(b"v") + bulk(b"hit") + bulk(b"outstanding=1,recent_ms=2.5")
@@ -284,7 +286,8 @@
         assert c.ended and s.counters.counts["tx.sent"] == 1 and not s.node.host.rpcs
 
 
-def test_a_client_that_does_not_read_waits_and_then_is_cut_off() -> None:
+def test_a_client_that_does_not_read_waits_and_then_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "UNREAD_MOST", 1 << 20)
     s = Sockets(memory_mb=64)
     c, other = s.client(), s.client()
     c.reads = False
@@ -306,7 +309,8 @@
     assert c.ended and not other.ended
 
 
-def test_a_burst_of_commands_leaves_others_their_turn_and_has_a_bound() -> None:
+def test_a_burst_of_commands_leaves_others_their_turn_and_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "DUE_MOST", 1024)
     s = Sockets()
     c, other = s.client(), s.client()
     c.say(command(b"PING") * 100 + b"".join(get(f"r{i}") for i in range(3000)))
