Spoilt answers are told apart, and unread bytes keep a connection from its next RPC

Ruled out: ids that come twice (caches turn them away), the parser (it raises on all that was sent). At fault: Pool.carry and Pool.free began RPCs on connections with unread bytes; CacheConnection.came threw good answers away; tx_ended struck the origin for each spoilt answer (its limit fell, 2% of all sends went there, not 17%).

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -49,8 +49,8 @@
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
         self.answered_at = self.struck_at = self.rest_until = self.started = self.cold_until = -FAR
         self.tokens = self.refilled = 0.0  # for its time as a cold server
-        self.open, self.last = False, -FAR  # a connection; the latest send
-        self.sent, self.rate, self.load = 0, 0.0, -1.0  # load: as reported, averaged; -1 where it is not
+        self.open, self.last, self.sent, self.rate = False, -FAR, 0, 0.0  # a connection; the latest send
+        self.load = -1.0  # as reported, averaged; -1 where it is not
         self.first, self.again = list[Place](), list[Place]()  # lines; further transmissions have their own
         self.c, self.m, self.points, self.heard = 0.0, 0.0, 0, 0  # the mechanism's loads; points on the ring
         self.ok = False  # ready, on the path and warm: the ordinary path asks no more than this
@@ -68,7 +68,8 @@
 class Tx:
     def __init__(self, rpc: Rpc, server: Server, n: int, sent: float) -> None:
         self.rpc, self.server, self.n, self.sent = rpc, server, n, sent
-        self.done, self.ran, self.counted = False, True, False  # ran: may have, until proven otherwise
+        self.done = self.counted = self.spoilt = False  # spoilt: its answer could not be read
+        self.ran = True  # it may have, until proven otherwise
 
 
 class Rpc:
@@ -220,8 +221,7 @@
         share = self.shares.get(customer)
         # Danger: RPCs over a share in the way of those within; fewer are let in while these are turned away.
         rpc.over = share is not None and share.over(now)
-        rpc.share = None if rpc.over else share
-        rpc.lost = rpc.over and self._chance() >= self.spare
+        rpc.share, rpc.lost = None if rpc.over else share, rpc.over and self._chance() >= self.spare
         low, width = self.bands.get(method, (0.0, 1.0))  # among the methods, by gain
         if self.shed > 0 and share is None and low + width * self._chance() < self.shed:
             rpc.lost = rpc.over = True
@@ -235,7 +235,7 @@
         tx = rpc.txs[n] if rpc and 0 <= n < len(rpc.txs) else None
         if rpc is None or tx is None or tx.done:
             return
-        tx.done, tx.ran, s = True, outcome not in NEVER_RAN, tx.server
+        tx.done, tx.ran, tx.spoilt, s = True, outcome not in NEVER_RAN, outcome == Outcome.SPOILT, tx.server
         rpc.live -= 1
         s.live.pop(tx, None)
         # Danger: hundreds of nodes, none of which ever fills a server, crowd it with what is over shares.
@@ -258,6 +258,9 @@
             self._strike(s)
         elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent and not tx.counted:
             self._strike(s)
+        elif outcome == Outcome.SPOILT and now - s.answered_at > self.pause:
+            # Danger: spoilt answers come from any server alike, and tell of it only where no good one comes.
+            self._strike(s)
         # Danger: one out from each of hundreds of nodes is a crowd for one server.
         span = max(took, s.latency if outcome <= Outcome.MISS else TARGET * rpc.method.soft_ms)
         s.rest_until = now + span * (1 / min(s.limit, 1.0) - 1) * (0.5 + self._chance())
@@ -400,8 +403,7 @@
         now, tx, rpc.live = self.now, Tx(rpc, s, len(rpc.txs), self.now), rpc.live + 1
         rpc.txs.append(tx)
         s.live[tx] = None
-        s.sent, s.open, s.last = s.sent + 1, True, now
-        s.tokens -= now < s.cold_until
+        s.sent, s.open, s.last, s.tokens = s.sent + 1, True, now, s.tokens - (now < s.cold_until)
         patience = max(PATIENCE * rpc.method.soft_ms, 2 * s.latency)
         heapq.heappush(self.wakes, (now + patience, self._count(), rpc, tx))
         host.send(rpc.id, s.id, rpc.until - now)
@@ -441,7 +443,7 @@
         now, busy = self.now, None
         crowded = self.origin and (self.origin.again or 2 * len(self.origin.live) >= self.origin.limit)
         for s in self._chain(rpc.bucket):
-            tried = any(tx.server is s for tx in rpc.txs) or not self._may_send(rpc, s)
+            tried = any(tx.server is s and not tx.spoilt for tx in rpc.txs) or not self._may_send(rpc, s)
             if s.state != State.READY or tried or (now < s.cold_until and not self._cold_room(s)):
                 continue
             if s.off:
@@ -533,8 +535,7 @@
     def _state(self, s: Server, state: State) -> None:
         if state != State.READY and s.state == State.READY:
             self._leave(s, state == State.GONE)
-        s.state = state
-        s.ok = state == State.READY and not s.off and self.now >= s.cold_until
+        s.state, s.ok = state, state == State.READY and not s.off and self.now >= s.cold_until
 
     def _rebuild(self, resized: list[Server]) -> None:  # the ring; points go by listed size alone
         ready = [s for s in self.servers.values() if s.state == State.READY]
@@ -568,8 +569,7 @@
         return bucket
 
     def _home(self, b: Bucket) -> None:
-        moved, b.chain = b.at is not b.home, None
-        b.home = next(self._ready_from(b.point), None)
+        moved, b.chain, b.home = b.at is not b.home, None, next(self._ready_from(b.point), None)
         if not moved or b.at is None or b.at.state != State.READY:
             b.at = b.home
 
--- a/hookpitch/balancer/deployment.py
+++ b/hookpitch/balancer/deployment.py
@@ -17,6 +17,7 @@
     "throughput": "rate", "errors_per_s": "errors_per_s", "x0": "x0", "x1": "x1",
 }  # fmt: skip
 NO_REPORT: Report = {}
+FIGURE_MOST = 1e7  # nothing that a server reports is larger: an hour has fewer milliseconds
 
 
 def report(text: str, mark: str) -> Report:
@@ -29,7 +30,9 @@
         if not between:
             raise ValueError(f"'{pair}' is no name{mark}value pair")
         if name in FIELDS:
-            values[FIELDS[name]] = float(value)
+            values[FIELDS[name]] = figure = float(value)
+            if not 0 <= figure <= FIGURE_MOST:  # nor is 'nan' a figure
+                raise ValueError(f"'{pair}' is no figure that a server can have")
     return values
 
 
--- a/hookpitch/balancer/interface.py
+++ b/hookpitch/balancer/interface.py
@@ -27,6 +27,7 @@
     TIMEOUT = 6
     FULL = 7
     ERROR = 8
+    SPOILT = 9  # an answer came that cannot be read; it may have run
 
 
 NEVER_RAN = frozenset({Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL})
--- a/hookpitch/net/caches.py
+++ b/hookpitch/net/caches.py
@@ -61,6 +61,12 @@
                 pools.host.odd("reports", load)
         pools.host.tx_over(now, tx, outcome, value, values)
 
+    def spoilt(self, why: str) -> None:
+        """What came cannot be read: the RPC may have run, and the connection is of no further use."""
+        if self.tx is not None:
+            self.pool.pools.host.odd("answers", why)
+        self.over(Outcome.SPOILT, reuse=False)
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         self.lost = True
         pools, tx = self.pool.pools, self.tx
@@ -90,29 +96,21 @@
     def came(self) -> None:
         try:
             found, reply = self.parser.next()
-        except Malformed:
-            return self.over(Outcome.ERROR, reuse=False)
+        except Malformed as fault:
+            return self.spoilt(str(fault))
         if found:
-            if self.tx is None or not self.parser.between:  # nobody asked
-                return self.over(Outcome.ERROR, reuse=False)
-            self._reply(reply)
-
-    def _reply(self, reply: Value) -> None:
-        if isinstance(reply, list) and len(reply) == 3 and _text(reply[0]) and _text(reply[2]):
-            load = (reply[2] or b"").decode("latin-1")
-            self.over(Outcome.MISS if reply[0] is None else Outcome.COMPLETED, reply[0], load)
-        elif isinstance(reply, Fault):
-            words = reply.decode("latin-1").split(" ")
+            # Danger: what comes behind an answer would answer the next RPC. The answer itself is good.
+            self._reply(reply, self.tx is not None and self.parser.between)
+
+    def _reply(self, reply: Value, alone: bool) -> None:
+        if isinstance(reply, list) and len(reply) == 3 and (reply[0] is None or type(reply[0]) is bytes):
+            load = reply[2].decode("latin-1") if isinstance(reply[2], bytes) else ""
+            self.over(Outcome.MISS if reply[0] is None else Outcome.COMPLETED, reply[0], load, alone)
+        elif isinstance(reply, Fault) and (words := reply.decode("latin-1").split(" "))[0] in ("BUSY", "ERR"):
             load = words[-1] if "=" in words[-1] else ""
-            self.over(Outcome.FULL if words[0] == "BUSY" else Outcome.ERROR, load=load)
-            if words[0] not in ("BUSY", "ERR"):
-                self.pool.pools.host.odd("answers", reply.decode("latin-1"))
+            self.over(Outcome.FULL if words[0] == "BUSY" else Outcome.ERROR, load=load, reuse=alone)
         else:
-            self.over(Outcome.ERROR, reuse=False)
-
-
-def _text(value: Value) -> bool:
-    return value is None or isinstance(value, bytes)
+            self.spoilt(repr(reply))
 
 
 class _Dial(ClientFactory):
@@ -143,17 +141,26 @@
         self.retired = False  # the server lives elsewhere now
 
     def carry(self, tx: Tx) -> bool:
-        if self.idle:
+        while self.idle:
             connection = self.idle.pop()
             self.pools.clock.deadlines.drop(connection.expiry)
-            connection.begin(tx)
-            return True
+            if self._clean(connection):
+                connection.begin(tx)
+                return True
         if len(self.dials) <= len(self.waiting) and not self._dial():
             return False
         self.waiting.append(tx)
         tx.carrier = self
         return True
 
+    def _clean(self, connection: Connection) -> bool:
+        """Danger: bytes that came since the last answer would be the next RPC's value."""
+        if connection.unread():
+            self.pools.host.counters.add("connections.unclean")
+            connection.transport.abortConnection()
+            return False
+        return True
+
     def _dial(self) -> bool:
         pools = self.pools
         if not pools.room():
@@ -186,7 +193,7 @@
         self.free(connection)
 
     def free(self, connection: Connection) -> None:
-        if connection.lost:
+        if connection.lost or not self._clean(connection):  # what waits has a dial of its own
             return
         if self.waiting:
             connection.begin(self.waiting.popleft())
--- a/hookpitch/net/origin.py
+++ b/hookpitch/net/origin.py
@@ -38,6 +38,8 @@
         return b"".join(part for part in parts if part)
 
     def came(self) -> None:
+        if self.tx is None:
+            return self.spoilt("nobody asked")
         self.http.receive_data(self.inward.read(len(self.inward)))
         self._read()
 
@@ -60,13 +62,13 @@
                 elif isinstance(event, h11.Data):
                     self.body += bytes(event.data)
                     if len(self.body) > VALUE_MOST:
-                        return self.over(Outcome.ERROR, reuse=False)
+                        return self.spoilt("a body too long")
                 elif isinstance(event, h11.EndOfMessage):
                     return self._whole()
                 elif not isinstance(event, h11.InformationalResponse):
                     return  # more is needed, or the connection ends
-        except h11.RemoteProtocolError:
-            self.over(Outcome.ERROR, reuse=False)
+        except h11.RemoteProtocolError as fault:
+            self.spoilt(str(fault))
 
     def _whole(self) -> None:
         never = self.headers.get(b"x-not-run") == b"1"
@@ -75,6 +77,7 @@
         else:
             outcome = Outcome.FULL if self.status in (503, 504) and never else Outcome.ERROR
         reuse = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        reuse = reuse and not self.http.trailing_data[0]  # what comes behind would answer the next RPC
         if reuse:
             self.http.start_next_cycle()
         value = self.body if outcome == Outcome.COMPLETED else None
--- a/hookpitch/net/wire.py
+++ b/hookpitch/net/wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from socket import MSG_PEEK
+
 from twisted.protocols.basic import LineReceiver
 
 from hookpitch.core.ring import Ring
@@ -41,6 +43,19 @@
         """More stands in the inward ring."""
         raise NotImplementedError
 
+    def unread(self) -> bool:
+        """Whether bytes of the peer, or its end, stand unread, here or in the kernel."""
+        socket = getattr(self.transport, "socket", None)
+        if len(self.inward) or socket is None:
+            return len(self.inward) > 0
+        try:
+            socket.recv(1, MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
     def put(self, data: bytes) -> None:
         self.outward.write(data)
         if not self._flowing:
