SIGHUP reads the file again and follows discovery to its new address

Checked: a node by itself ends on SIGHUP; a restarted one is told the new address in the environment, too. At fault: __main__ had no handler; Discovery had one address, and told() refuses versions that count anew. A start with 32 MB is no longer refused.

--- a/hookpitch/__main__.py
+++ b/hookpitch/__main__.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import time
+from functools import partial
 
 from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
@@ -17,12 +18,13 @@
 from hookpitch.net import log
 from hookpitch.net.clock import Clock
 from hookpitch.net.node import SocketNode
-from hookpitch.net.start import post
+from hookpitch.net.start import discovery, post
 
 LISTEN_TRIES, LISTEN_PAUSE_S = 30, 0.1
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
         told = post(os.environ)
     except ValueError as fault:
@@ -46,6 +48,8 @@
                 print(f"hookpitch: cannot start: {fault}", file=sys.stderr)
                 return 2
             time.sleep(LISTEN_PAUSE_S)
+    reload = partial(node.reload, partial(discovery, os.environ))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(node.leave))
     gc.collect()
--- a/hookpitch/net/discovery.py
+++ b/hookpitch/net/discovery.py
@@ -152,6 +152,14 @@
         watch.connector = self.reactor.connectTCP(*self.address, _Dial(watch), timeout=None)
         watch.wait(DIALS * self.host.deployment.dial_timeout_ms)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery lives elsewhere now, and may count versions anew: the whole list is asked for."""
+        if address == self.address and self.current is not None:
+            return
+        if address != self.address:
+            self.address, self.seq, self.older = address, 0, 0
+        self.watch(self.clock.now())
+
     def told(self, line: bytes) -> None:
         seq, whole, entries, dials = read(line, self.host.deployment.kinds)
         if whole and not entries:
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from hookpitch.balancer.interface import ListKind
@@ -38,6 +39,17 @@
         self.host.listed(self.clock.now(), ListKind.CACHED, list(self.post.known), self.post.dials)
         self.logger.info("serving", listen=f"{address}:{port}", servers=len(self.post.known))
 
+    def reload(self, discovery: Callable[[], tuple[str, int]]) -> None:
+        """The file of the configuration was replaced: of what it holds, discovery's address may change."""
+        try:
+            address = discovery()
+        except ValueError as fault:
+            # Danger: a file half written, or with a slip in it, must not stop a node that serves.
+            self.logger.info("not reloaded", why=str(fault))
+            return
+        self.logger.info("reloaded", discovery=f"{address[0]}:{address[1]}")
+        self.discovery.move(address)
+
     def leave(self) -> None:
         """Serve on for a while, then listen no more, answer what was taken, and end."""
         if self.leaving:
--- a/hookpitch/net/start.py
+++ b/hookpitch/net/start.py
@@ -12,7 +12,7 @@
 from hookpitch.net.discovery import read
 
 SOCKETS_LEAST = 64
-MEMORY_LEAST = 64  # MB
+MEMORY_LEAST = 32  # MB
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,16 +32,7 @@
 
 def post(environment: Mapping[str, str]) -> Post:
     """ValueError says in one line what is wrong."""
-    path = environment.get("PROXY_CONFIG")
-    if not path:
-        raise ValueError("PROXY_CONFIG names no file")
-    try:
-        with open(path, encoding="utf-8") as file:
-            top = json.load(file)
-    except (OSError, ValueError, RecursionError) as fault:
-        raise ValueError(f"{path}: {fault}") from None
-    if not isinstance(top, dict):
-        raise ValueError(f"{path}: no JSON object")
+    top = _file(environment)
 
     def told(name: str) -> str:
         value = environment.get(f"PROXY_{name.upper()}") or top.get(name)
@@ -70,6 +61,28 @@
     )
 
 
+def discovery(environment: Mapping[str, str]) -> tuple[str, int]:
+    """Where the file, read anew, says that discovery is; the environment is as old as the process."""
+    value = _file(environment).get("discovery")
+    if not isinstance(value, str):
+        raise ValueError("discovery is missing")
+    return _address(value, "discovery")
+
+
+def _file(environment: Mapping[str, str]) -> dict[str, Any]:
+    path = environment.get("PROXY_CONFIG")
+    if not path:
+        raise ValueError("PROXY_CONFIG names no file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            top = json.load(file)
+    except (OSError, ValueError, RecursionError) as fault:
+        raise ValueError(f"{path}: {fault}") from None
+    if not isinstance(top, dict):
+        raise ValueError(f"{path}: no JSON object")
+    return top
+
+
 def _hex(text: str) -> bool:
     return 0 < len(text) <= 64 and all(c in "0123456789abcdefABCDEF" for c in text)
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -2,15 +2,19 @@
 
 import json
 import random
+import signal
+import socket
 import subprocess
 import sys
 from copy import deepcopy
+from functools import partial
 from pathlib import Path
 
 import pytest
-from fleet import SETTINGS, listed_host
+from fleet import DISCOVERY, SETTINGS, Sockets, listed_host
 
-from hookpitch.net.start import Post, post
+from hookpitch.balancer.interface import State
+from hookpitch.net.start import Post, discovery, post
 
 TOLD = {
     "name": "n3", "listen": "127.0.0.1:6379", "discovery": "127.0.0.2:8500", "seed": "8c1f30d27a5be964",
@@ -84,3 +88,43 @@
         cwd=Path(__file__).parent.parent, timeout=60, check=False,
     )  # fmt: skip
     assert done.returncode == 2 and done.stderr == "hookpitch: cannot start: setting methods is missing\n"
+
+
+def test_a_new_file_moves_discovery_whose_versions_may_count_anew(tmp_path: Path) -> None:
+    s, path, said = Sockets(), tmp_path / "node.json", []
+    s.info = lambda event, **values: said.append(event)
+    reload = partial(s.node.reload, partial(discovery, {"PROXY_CONFIG": str(path), "PROXY_DISCOVERY": "h:1"}))
+    for bad in ("{", "[1]", "{}", '{"discovery": "nowhere"}', '{"discovery": 5}'):
+        path.write_text(bad)
+        reload()
+        assert said.pop() == "not reloaded" and not said and s.network.to(DISCOVERY), bad
+    path.write_text(json.dumps({"discovery": "127.0.0.3:8600"}))
+    reload()
+    s.pass_time(1)
+    assert not s.network.to(DISCOVERY) and b"since=0 " in (line := s.network.to(8600)[0]).take()
+    told = json.dumps({"seq": 2, "whole": True, "hosts": s.hosts[1:]}).encode() + b"\n"  # held: 5
+    line.say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(told), told))
+    assert s.node.discovery.seq == 2 and s.node.host.node.servers["s0"].state == State.GONE
+    reload()  # the same again: the watch goes on
+    s.pass_time(1)
+    assert s.network.to(8600) == [line]
+    line.end()
+    s.pass_time(2000)
+    assert b"since=2 " in s.network.to(8600)[0].take()
+
+
+def test_a_node_survives_sighup_and_leaves_on_sigterm(tmp_path: Path) -> None:
+    path = tmp_path / "node.json"
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    path.write_text(json.dumps(TOLD | {"listen": listen, "discovery": "127.0.0.1:1"}))
+    node = subprocess.Popen([sys.executable, "-m", "hookpitch"], env={"PROXY_CONFIG": str(path)},
+                            stderr=subprocess.PIPE, text=True, cwd=Path(__file__).parent.parent)  # fmt: skip
+    try:
+        for event, number in (("serving", signal.SIGHUP), ("reloaded", signal.SIGTERM), ("left", 0)):
+            assert any(f'"{event}"' in line for line in node.stderr), event
+            node.send_signal(number)
+        assert node.wait(60) == 0
+    finally:
+        node.kill()
+        node.stderr.close()
