The origin's limit tells work that varies from congestion

A probe of what is given up: nearly all are misses whose stay in the origin's line ran out or was cut. A probe of the origin's limit: 3 to 7, its mean 50 ms, half a soft deadline 77 ms; two to seven strikes a second and a half, none of them a failure: silence for 0.4 of a soft deadline. One slow answer in sixteen took a tenth off and left growth at a quarter for good. At fault: the silence rule in _due, which is made for caches, and _answered, which takes one slow answer for congestion.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -146,8 +146,7 @@
         self.ask_within, self.ask_backoff, self.nodes = d.ask_within_ms or 10000.0, 0.0, max(1, d.nodes)
         part = 1000.0 * self.nodes  # of a quota a second over all nodes, to this node's a millisecond
         self.shares = {c.name: Share(c.quota_per_s / part, now) for c in d.customers if c.quota_per_s > 0}
-        self.max_txs, self.cancelling = d.max_transmissions or 1, d.cancelling
-        self.origin_kind, self.origin = d.origin_kind, None
+        self.origin_kind, self.max_txs, self.cancelling = d.origin_kind, d.max_transmissions or 1, d.cancelling
         self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
         self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
@@ -156,7 +155,7 @@
         self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
         self.servers, self.rpcs = dict[str, Server](), dict[str, Rpc]()
         self.buckets: dict[int, Bucket] = {}  # those asked for so far
-        self.ring = array("Q")  # a point in the upper bits, a cache's place in `caches` in the lower sixteen
+        self.origin, self.ring = None, array("Q")  # a point, and in sixteen bits a cache's place in `caches`
         self.caches = list[Server]()  # all on the ring, ready or not
         self.closing, self.freed = deque[Server](), deque[Server]()
         self.young, self.old = dict[str, None](), dict[str, None]()  # keys asked for, in two generations
@@ -209,13 +208,12 @@
         if id in self.rpcs:
             return
         m = self.methods.get(method) or Method(method, grace, grace, 0.0, 0.0, Idempotency.NON_RETRIABLE)
-        self.draws += 1  # a keyless RPC still needs a bucket: any will do
-        bucket = self._bucket(crc32(key.encode() or b"%d/%d" % (self.seed, self.draws)) % BUCKETS)
+        # A keyless RPC still needs a bucket: any will do.
+        bucket = self._bucket(crc32(key.encode() or b"%d/%d" % (self.seed, self._count())) % BUCKETS)
         if key and key not in self.young:
             self.young[key] = None
             bucket.keys += key not in self.old
-        bucket.count += 1
-        rpc = Rpc(self.draws, id, key, bucket, m, write)
+        bucket.count, rpc = bucket.count + 1, Rpc(self._count(), id, key, bucket, m, write)
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
         rpc.until, rpc.aim = now + useful - self.margin, now + m.soft_ms - self.margin
         share = self.shares.get(customer)
@@ -339,9 +337,9 @@
                     self.todo.append(rpc)
                 elif rpc.queued:
                     self.freed.append(rpc.queued)
-            elif not tx.done and not tx.counted and tx.server.answered_at < tx.sent:
+            elif not (tx.done or tx.counted or tx.server is self.origin) and tx.server.answered_at < tx.sent:
                 # Danger: a server that takes work and answers none looks idle. Silence since the send counts;
-                # but all that is out at a busy server is late at once: sends before a strike tell no more.
+                # but the origin's work varies, and a busy server is late with all: one strike tells of them.
                 tx.counted = True
                 if tx.sent >= tx.server.struck_at:
                     self._strike(tx.server)
@@ -492,10 +490,12 @@
         s.ok = s.state == State.READY and self.now >= s.cold_until
         if full_work:
             s.latency += (took - s.latency) * (0.1 if s.latency else 1.0)
-        if took > TARGET * tx.rpc.method.soft_ms:
+        # Danger: work that varies is no congestion. While caches keep up, the origin's mean must be slow.
+        slow, eased = TARGET * tx.rpc.method.soft_ms, s is self.origin and self.pressure < SHED_FROM / 2
+        if took > slow and not (eased and s.latency <= slow):
             s.limit, s.growth = max(s.least, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
-            s.limit += s.growth * min(s.limit, 1 / s.limit)
+            s.limit += (1.0 if eased else s.growth) * min(s.limit, 1 / s.limit)
 
     def _strike(self, s: Server) -> None:
         if s is self.origin:  # there is no other: it is asked less, never left
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -126,3 +126,30 @@
     gaps = [b - a for a, b in zip(asked_at, asked_at[1:], strict=False)]
     assert max(gaps) <= 10000.0 and len(gaps) < 60  # within ask_within, and no storm
     assert all(to != "s0" for _, to, _ in f.sends)
+
+
+def test_the_origins_limit_falls_when_its_mean_is_slow_not_when_its_work_varies() -> None:
+    for varies in (True, False):  # the soft deadline is 400 ms
+        f = node(1)
+        for i in range(100):
+            for k in range(6):
+                f.end(f.arrive(f"k{i}/{k}"), Outcome.MISS)
+            f.pass_time(20.0 if varies else 250.0)
+            for k, (rpc, n) in enumerate(f.out.copy()):
+                f.pass_time(230.0 if varies and k == i % 6 == 0 else 0.0)
+                f.end(rpc, Outcome.COMPLETED, n)
+            f.pass_time(100.0)
+        assert (f.node.servers["o1"].limit > 6.0) == varies, f.node.servers["o1"].limit
+
+
+def test_a_silent_origin_is_struck_once_its_wait_is_over() -> None:
+    f = node(1)
+    origin, struck = f.node.servers["o1"], []
+    for i in range(6):
+        f.end(rpc := f.arrive(f"k{i}"), Outcome.MISS)
+        f.pass_time(390.0)
+        assert origin.limit == (2.0 if i == 0 else struck[-1]), "a slow answer may still come"
+        f.pass_time(2000.0)
+        struck.append(origin.limit)
+        assert rpc in f.answers
+    assert struck == sorted(struck, reverse=True) and struck[-1] < 0.3
