--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -146,7 +146,7 @@
         self.ask_within, self.ask_backoff, self.nodes = d.ask_within_ms or 10000.0, 0.0, max(1, d.nodes)
         part = 1000.0 * self.nodes  # of a quota a second over all nodes, to this node's a millisecond
         self.shares = {c.name: Share(c.quota_per_s / part, now) for c in d.customers if c.quota_per_s > 0}
-        self.origin_kind, self.max_txs, self.cancelling = d.origin_kind, d.max_transmissions or 1, d.cancelling
+        self.origin_kind, self.cancelling, self.max_txs = d.origin_kind, d.cancelling, d.max_transmissions
         self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
         self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
