Single slips of the origin leave its limit; a lone refusal leaves a server warm

Probes: the origin's limit fell with each of its resets (one answer in fourteen, from all servers alike); most caches counted as cold, though none had started anew: one dial that was reset after one reset sufficed, so they got a fifth of their RPCs, lines ran out, and the node shed at the door. Ruled out: connections (77 at once of 105 a server), the origin's own load (13). At fault: tx_ended, where any failure of the origin was a strike, and a refusal after one failure cooled a server. After a reset the RPC went to a neighbour that had not the key, and on to the origin: the same server may be asked again now.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -36,6 +36,7 @@
 ORIGIN_START = 32.0  # transmissions out at the origin at the start, over all nodes
 LEAST = 1 / 64  # the lowest limit of the origin
 SHED_FROM = 0.2  # of what is within shares turned away or late: from here on less is let in
+ONE_OFF = (Outcome.SPOILT, Outcome.RESET)  # tells of one connection: the same server may be asked again
 STRIKES = 3  # failures in a row that take a server off the path
 FAR = float("inf")
 Place = tuple[bool, float, int, "Rpc"]  # in a line: over share, -gain, arrival
@@ -233,7 +234,7 @@
         tx = rpc.txs[n] if rpc and 0 <= n < len(rpc.txs) else None
         if rpc is None or tx is None or tx.done:
             return
-        tx.done, tx.ran, tx.spoilt, s = True, outcome not in NEVER_RAN, outcome == Outcome.SPOILT, tx.server
+        tx.done, tx.ran, tx.spoilt, s = True, outcome not in NEVER_RAN, outcome in ONE_OFF, tx.server
         rpc.live -= 1
         s.live.pop(tx, None)
         # Danger: hundreds of nodes, none of which ever fills a server, crowd it with what is over shares.
@@ -247,18 +248,17 @@
         elif outcome == Outcome.FULL:
             s.answered_at = now
             s.limit = max(s.least, min(s.limit, 0.8 * (len(s.live) + 1)) if s.live else s.limit / 2)
-        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
-            # Danger: a server that refuses after a failure died and comes back cold, maybe unannounced. A
-            # reset tells of one connection, one refusal of a full table, most servers' of our own network.
-            few = 2 * sum(c.failures > 0 for c in self.caches) <= len(self.caches)
-            if outcome == Outcome.CONNECT_FAILED and s.failures and s.started < tx.sent and few:
+        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
+            # Danger: a server that refuses after failures died and comes back cold, maybe unannounced. One
+            # reset or refusal tells of a connection or a full table, most servers' of our own network.
+            died = s.failures > 1 and 2 * sum(c.failures > 0 for c in self.caches) <= len(self.caches)
+            if outcome == Outcome.CONNECT_FAILED and died and s.started < tx.sent:
                 self._cool(s, now)
-            self._strike(s)
+            # Danger: a limit cut for what befalls any server, or each slip of the one origin, starves all.
+            if now - s.answered_at > self.pause or not (s is self.origin or outcome == Outcome.SPOILT):
+                self._strike(s)
         elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent and not tx.counted:
             self._strike(s)
-        elif outcome == Outcome.SPOILT and now - s.answered_at > self.pause:
-            # Danger: spoilt answers come from any server alike, and tell of it only where no good one comes.
-            self._strike(s)
         # Danger: one out from each of hundreds of nodes is a crowd for one server.
         span = max(took, s.latency if outcome <= Outcome.MISS else TARGET * rpc.method.soft_ms)
         s.rest_until = now + span * (1 / min(s.limit, 1.0) - 1) * (0.5 + self._chance())
