Servers that are gone are forgotten when the ring is made anew

At fault: _rebuild, which dropped them from the ring alone. One with a transmission out stays; a returning id is a new server, and cold if the list says that it started lately.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -154,9 +154,8 @@
         self.ask_at = now + self.ask_within / 2 * (1 - 1 / self.nodes) * self._chance() if d.must_ask else FAR
         self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
         self.servers, self.rpcs = dict[str, Server](), dict[str, Rpc]()
-        self.buckets: dict[int, Bucket] = {}  # those asked for so far
         self.origin, self.ring = None, array("Q")  # a point, and in sixteen bits a cache's place in `caches`
-        self.caches = list[Server]()  # all on the ring, ready or not
+        self.buckets, self.caches = dict[int, Bucket](), list[Server]()  # asked for so far; all on the ring
         self.closing, self.freed = deque[Server](), deque[Server]()
         self.young, self.old = dict[str, None](), dict[str, None]()  # keys asked for, in two generations
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
@@ -550,6 +549,7 @@
         if 2 * gone > len(self.caches) or any(s.points for s in resized):
             for s in self.caches:
                 s.points = 0
+            self.servers = {s.id: s for s in self.servers.values() if s.state != State.GONE or s.live}
             self.caches, self.ring, resized = [], array("Q"), [s for s in ready if s.kind != self.origin_kind]
         ring = list(self.ring) if resized else []
         for s in resized:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -197,3 +197,18 @@
         assert {t["server"] for t in f.txs[rpc]} == {"s0"} and sum(r == rpc for r, _ in f.out) == 1
         f.pass_time(130.0)
         assert len(f.txs[rpc]) <= 2 and (tries == 2) == (f.txs[rpc][0]["done"])
+
+
+def test_servers_that_are_gone_are_forgotten_and_an_id_that_returns_is_new_and_cold() -> None:
+    f = fleet(2)
+    for i in range(2, 40):  # each is replaced by one under a new id
+        f.listed([entry(f"s{i}", started=f.now - 1)], ListKind.DELTA)
+        f.listed([entry(f"s{i - 2}", State.GONE)], ListKind.DELTA)
+        for _ in range(5):
+            f.arrive(f"k{f.count}")
+            while f.out:
+                f.end(f.out[0][0], Outcome.COMPLETED)
+            f.pass_time(500.0)
+    assert len(f.node.servers) <= 6 and len(f.node.caches) <= 5
+    f.listed([entry("s0", started=f.now - 1)], ListKind.DELTA)
+    assert f.node.servers["s0"].cold_until > f.now and f.node.servers["s0"].heard == 0
