--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -359,7 +359,7 @@
             return self._offer(rpc, self.origin, host)
         s = rpc.bucket.at
         if tries or s is None or not s.ok or not self._room(s):
-            s = self._along(rpc) or self.origin
+            s = self._along(rpc)
         return self._offer(rpc, s, host)
 
     def _offer(self, rpc: Rpc, s: Server | None, host: Host) -> bool:  # send, stand in line or give up
