The node heeds its own lateness: admission by the wait of what is read

Connections of clients were taken without bound; with no descriptor left Twisted closes what it accepts, with an RPC on it, and a dial that found no descriptor struck its server: eleven servers off the path within two seconds, none at fault. The node read RPCs long after they had come and sent them on all the same.

Change: room is kept apart for servers, clients and the node's own; beyond it a newcomer is a guest, answered -BUSY and closed. A dial without a descriptor strikes nobody. The age of what is read (TCP_INFO) is taken off an RPC's time and off a server's; core/admission.py turns the mean wait into a rate that is let in, and the decisions choose at the door whom to turn away. After a pause of the process sockets are read before deadlines are run, and nobody is struck for it. Turns are short, servers first; bytes go straight to the socket; deadlines are compared without Python code.

--- a/hookpitch/__main__.py
+++ b/hookpitch/__main__.py
@@ -11,11 +11,10 @@
 import time
 from functools import partial
 
-from twisted.internet import reactor
 from twisted.internet.error import CannotListenError
 
 from hookpitch.core.counters import Counters
-from hookpitch.net import log
+from hookpitch.net import log, turns
 from hookpitch.net.clock import Clock
 from hookpitch.net.node import SocketNode
 from hookpitch.net.start import discovery, post
@@ -34,8 +33,9 @@
     most = told.sockets if hard == resource.RLIM_INFINITY else min(told.sockets, hard)
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
     # Danger: Twisted's timers go by the wall clock, and one set back would hold up every deadline.
-    reactor.seconds = time.monotonic
     counters = Counters()
+    reactor = turns.install()
+    reactor.seconds = time.monotonic
     logger = log.start(told.name, counters)
     node = SocketNode(reactor, Clock(reactor), told, counters, logger)
     for tries in range(LISTEN_TRIES):
--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -87,9 +87,12 @@
         # Danger: hundreds of nodes, a quota under one RPC a window for each: all are over it for good.
         self.rate, self.most, self.tokens, self.at = rate, rate * ROUND_MS / 5 + SAVED, SAVED / 4, now
 
-    def over(self, now: float) -> bool:
+    def spent(self, now: float) -> bool:
         self.tokens, self.at = min(self.most, self.tokens + (now - self.at) * self.rate), now
-        over = self.tokens < 1
+        return self.tokens < 1
+
+    def over(self, now: float) -> bool:
+        over = self.spent(now)
         self.tokens -= not over
         return over
 
@@ -163,6 +166,9 @@
         self.asked, self.turned, self.pressure, self.shed = 1, 0, 0.0, 0.0  # shed: turned away at the door
         gains, n = sorted(m.gain for m in d.methods), len(d.methods)
         self.bands = {m.name: (gains.index(m.gain) / n, gains.count(m.gain) / n) for m in d.methods}
+        # Of the node itself: the part of what comes in that it cannot do; and when it was last away.
+        self.burden, self.away_at, self.mix = 0.0, -FAR, {m.name: 0.0 for m in d.methods}
+        self.parts = self.bands  # as bands, each as wide as its methods' part of what comes in
         self.spare = self.overage_gain = d.overage_gain  # spare: the part let in of what is over a share
         self.next_beat, self.next_round = now + self.window, now + ROUND_MS * (1 + self._chance())
         self.todo, self.retract, self.news = deque[Rpc](), deque[Tx](), deque[str]()
@@ -202,7 +208,7 @@
             self._rebuild(resized)
 
     def rpc_arrived(self, now: float, id: str, key: str, method: str, customer: str, write: bool,
-                    grace: float) -> None:  # fmt: skip
+                    grace: float, age: float = 0.0) -> None:  # fmt: skip
         self.now = now
         if id in self.rpcs:
             return
@@ -214,7 +220,8 @@
             bucket.keys += key not in self.old
         bucket.count, rpc = bucket.count + 1, Rpc(self._count(), id, key, bucket, m, write)
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
-        rpc.until, rpc.aim = now + useful - self.margin, now + m.soft_ms - self.margin
+        # Danger: what stood unread here has that much less time; `grace` counts from when it came.
+        rpc.until, rpc.aim = now + useful - age - self.margin, now + m.soft_ms - age - self.margin
         share = self.shares.get(customer)
         # Danger: RPCs over a share in the way of those within; fewer are let in while these are turned away.
         rpc.over = share is not None and share.over(now)
@@ -238,7 +245,8 @@
         s.live.pop(tx, None)
         # Danger: hundreds of nodes, none of which ever fills a server, crowd it with what is over shares.
         answered = outcome <= Outcome.MISS or outcome == Outcome.TIMEOUT
-        self.turned += now >= rpc.aim and answered and s is not self.origin and not rpc.over
+        away = tx.sent < self.away_at  # Danger: the node's own pause taken for its servers' fault
+        self.turned += now >= rpc.aim and answered and s is not self.origin and not rpc.over and not away
         if report:
             held = report.get("utilisation", report.get("inflight", report.get("queue", -2.0) + 1))
             s.load += (held - s.load) / 8 if s.load >= 0 else held + 1
@@ -256,7 +264,7 @@
             # Danger: a limit cut for what befalls any server, or each slip of the one origin, starves all.
             if now - s.answered_at > self.pause or not (s is self.origin or outcome == Outcome.SPOILT):
                 self._strike(s)
-        elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent and not tx.counted:
+        elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent and not away | tx.counted:
             self._strike(s)
         # Danger: one out from each of hundreds of nodes is a crowd for one server.
         span = max(took, s.latency if outcome <= Outcome.MISS else TARGET * rpc.method.soft_ms)
@@ -286,6 +294,38 @@
     def woken(self, now: float) -> None:
         self.now = now  # the time asked for by `wake` has come
 
+    def burdened(self, now: float, burden: float) -> None:
+        """The part of what comes in that the node itself cannot do, over a short window that has ended."""
+        self.now, self.burden = now, burden
+        total = sum(self.mix.values())
+        if burden > 0 and total > 0:
+            at, self.parts = 0.0, {}
+            for gain in sorted({m.gain for m in self.methods.values()}):
+                alike = [m.name for m in self.methods.values() if m.gain == gain]
+                width = sum(self.mix[name] for name in alike) / total
+                self.parts |= dict.fromkeys(alike, (at, width))
+                at += width
+        for name in self.mix:
+            self.mix[name] *= 0.9
+
+    def was_away(self, now: float) -> None:
+        """The node itself did nothing for a while: what was out then tells nothing of its servers."""
+        self.now = self.away_at = now
+
+    def turned_away(self, now: float, method: str, customer: str) -> float:
+        """At the door, before an RPC costs anything: when to come back, in ms; under 0 where it is let in."""
+        self.now, m = now, self.methods.get(method)
+        if m is None:
+            return -1.0
+        self.mix[method] += 1
+        if self.burden <= 0:
+            return -1.0
+        share, (low, width) = self.shares.get(customer), self.parts[method]
+        # Danger: what is over a share in the place of what is within. Of the rest the least gain goes first.
+        if not (share and share.spent(now)) and low + width * self._chance() >= self.burden:
+            return -1.0
+        return min(self.retry_after, m.soft_ms) * (0.5 + self._chance() / 2)
+
     # ---- decisions, one a call
 
     def decide(self, now: float, host: Host) -> bool:
@@ -336,6 +376,8 @@
                     self.todo.append(rpc)
                 elif rpc.queued:
                     self.freed.append(rpc.queued)
+            elif tx.sent < self.away_at and now < (anew := self.away_at + PATIENCE * rpc.method.soft_ms):
+                heapq.heappush(self.wakes, (anew, self._count(), rpc, tx))
             elif not (tx.done or tx.counted or tx.server is self.origin and tx.server.answered_at < tx.sent):
                 # Danger: a server that takes work and answers none looks idle. Silence since the send counts;
                 # but the origin's work varies, and a busy server is late with all: one strike tells of them.
@@ -484,6 +526,8 @@
     def _answered(self, tx: Tx, took: float, full_work: bool) -> None:
         s = tx.server
         s.answered_at, s.failures, s.heard = self.now, 0, s.heard + 1
+        if tx.sent < self.away_at:
+            took, full_work = min(took, s.latency), False
         if s.off:
             s.off, s.backoff, s.limit = False, 0.0, min(s.limit, START_LIMIT)
             self._tell(f"{s.id} back on the path")
--- a/hookpitch/balancer/interface.py
+++ b/hookpitch/balancer/interface.py
@@ -30,7 +30,8 @@
     SPOILT = 9  # an answer came that cannot be read; it may have run
 
 
-NEVER_RAN = frozenset({Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL})
+# A tuple: an enum's hash is a call of Python code, its identity is not.
+NEVER_RAN = (Outcome.MISS, Outcome.MOOT, Outcome.CONNECT_FAILED, Outcome.FULL)
 
 
 class State(IntEnum):
--- a/hookpitch/core/deadlines.py
+++ b/hookpitch/core/deadlines.py
@@ -11,20 +11,17 @@
 class Deadline:
     """One place in the order; `drop` takes it out."""
 
-    __slots__ = ("at", "n", "call")
+    __slots__ = ("at", "call")
 
-    def __init__(self, at: float, n: int, call: Callable[[float], None]) -> None:
-        self.at, self.n = at, n
+    def __init__(self, at: float, call: Callable[[float], None]) -> None:
+        self.at = at
         self.call: Callable[[float], None] | None = call
 
-    def __lt__(self, other: Deadline) -> bool:
-        return (self.at, self.n) < (other.at, other.n)
-
 
 class Deadlines:
     def __init__(self, arm: Callable[[float], None]) -> None:
         self._arm, self._armed = arm, FAR  # asks for the one wake-up, at a time
-        self._heap: list[Deadline] = []
+        self._heap: list[tuple[float, int, Deadline]] = []  # the number keeps the order of adding
         self._count = self._dropped = 0
 
     def __len__(self) -> int:
@@ -33,8 +30,8 @@
     def add(self, at: float, call: Callable[[float], None]) -> Deadline:
         """`call(now)` is due at `at`."""
         self._count += 1
-        deadline = Deadline(at, self._count, call)
-        heapq.heappush(self._heap, deadline)
+        deadline = Deadline(at, call)
+        heapq.heappush(self._heap, (at, self._count, deadline))
         if at < self._armed:
             self._armed = at
             self._arm(at)
@@ -47,22 +44,22 @@
         self._dropped += 1
         if self._dropped > 64 and 2 * self._dropped > len(self._heap):
             # Danger: RPCs answered in a millisecond leave their deadlines of seconds behind.
-            self._heap = [d for d in self._heap if d.call is not None]
+            self._heap = [place for place in self._heap if place[2].call is not None]
             heapq.heapify(self._heap)
             self._dropped = 0
 
     @property
     def first(self) -> float:
-        while self._heap and self._heap[0].call is None:
+        while self._heap and self._heap[0][2].call is None:
             heapq.heappop(self._heap)
             self._dropped -= 1
-        return self._heap[0].at if self._heap else FAR
+        return self._heap[0][0] if self._heap else FAR
 
     def run(self, now: float) -> None:
         """The wake-up: call all that is due, in order, and ask for the next."""
         try:
             while self.first <= now:
-                deadline = heapq.heappop(self._heap)
+                deadline = heapq.heappop(self._heap)[2]
                 call, deadline.call = deadline.call, None
                 if call is not None:
                     call(now)
--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -9,6 +9,7 @@
 
 from hookpitch.balancer.decisions import Node
 from hookpitch.balancer.interface import Deployment, Entry, ListKind, Outcome, Report
+from hookpitch.core.admission import Admission
 from hookpitch.core.counters import Counters
 from hookpitch.core.deadlines import Deadline, Deadlines
 from hookpitch.core.resp import bulk
@@ -23,6 +24,7 @@
 CUSTOMER = b"t"  # the name under which an RPC tells its customer
 NO_REPORT: Report = {}
 ODD_LOGGED = 3  # lines for each kind of odd input
+TX_NAMES = [f"tx.{outcome.name.lower()}" for outcome in Outcome]
 
 
 class Carrier(Protocol):
@@ -34,6 +36,9 @@
     def listed(self, kind: ListKind, entries: Sequence[Entry], dials: Mapping[str, str]) -> None: ...
 
 
+    def answer_stands(self, tx: Tx) -> bool: ...  # whether its answer has come and is only unread
+
+
 class Watcher(Protocol):
     """Discovery."""
 
@@ -53,11 +58,10 @@
 class Tx:
     """One transmission of an RPC."""
 
-    __slots__ = ("rpc", "n", "server", "sent", "until", "deadline", "carrier", "written", "done")
+    __slots__ = ("rpc", "n", "server", "sent", "until", "carrier", "written", "done")
 
     def __init__(self, rpc: Rpc, n: int, server: str, sent: float, until: float) -> None:
         self.rpc, self.n, self.server, self.sent, self.until = rpc, n, server, sent, until
-        self.deadline: Deadline | None = None
         self.carrier: object | None = None  # the pool in which it waits, or the connection that it is on
         self.written = self.done = False  # written: maybe
 
@@ -93,6 +97,7 @@
         self.deadlines, self.counters, self.logger = deadlines, counters, logger
         self.methods = {m.name.encode(): m for m in deployment.methods}
         self.node = Node(now, deployment)
+        self.admission = Admission(now, min((m.soft_ms for m in deployment.methods), default=1000.0))
         self.rpcs: Slots[Rpc] = Slots()
         self.ids: set[bytes] = set()  # of all RPCs in slots
         self.connections: Slots[object] = Slots()
@@ -104,9 +109,10 @@
 
     # ---- inputs
 
-    def taken(self, now: float, client: Client, place: list[bytes | None], words: Sequence[bytes]
-              ) -> Rpc | None:  # fmt: skip
-        """An RPC as a client wrote it; None where its words are wrong."""
+    def taken(self, now: float, client: Client, place: list[bytes | None], words: Sequence[bytes],
+              age: float = 0.0) -> Rpc | None:  # fmt: skip
+        """An RPC as a client wrote it, read `age` ms after it came. None where its words are wrong, or where
+        it was turned away: then the place holds its answer."""
         pairs = _pairs(words[3])
         method = self.methods.get(pairs.get(b"c", b""))
         readable = KEY.fullmatch(words[1]) and ID.fullmatch(words[2])
@@ -115,32 +121,58 @@
         grace = min(float(pairs.get(b"d", method.hard_ms)), method.hard_ms)
         if not grace > 0:
             return None
+        self.admission.read(age)
+        customer = pairs.get(CUSTOMER, b"").decode("latin-1")
+        wait = self.node.turned_away(now, method.name, customer)
+        if wait >= 0 or age >= grace:
+            # Danger: in a surge, what is refused must cost next to nothing: no slot, deadline or bucket.
+            self.admission.turned_away()
+            self.counters.add("rpcs.turned_away")
+            place[0] = self._busy(max(0.0, wait))
+            return None
         rpc = Rpc(client, place, words)
         self.ids.add(rpc.id)
-        rpc.number, rpc.hard = self.rpcs.add(rpc), now + grace
-        rpc.deadline = self.deadlines.add(rpc.hard, lambda at: self._overdue(at, rpc))
+        rpc.number, rpc.hard = self.rpcs.add(rpc), now + grace - age
         self.counters.add("rpcs.taken")
-        key, customer = rpc.key.decode("latin-1"), pairs.get(CUSTOMER, b"").decode("latin-1")
-        write = rpc.value is not None
-        self.node.rpc_arrived(now, str(rpc.number), key, method.name, customer, write, grace)
+        key, write = rpc.key.decode("latin-1"), rpc.value is not None
+        self.node.rpc_arrived(now, str(rpc.number), key, method.name, customer, write, grace, age)
         self.decide(now)
+        if rpc.open and rpc.deadline is None:  # it waits in a line
+            self._watch(rpc, rpc.hard)
         return rpc
 
+    def _watch(self, rpc: Rpc, at: float) -> None:
+        """The RPC's one place among the deadlines: the next time at which something of it may be over."""
+        if rpc.deadline is None or rpc.deadline.call is None or at < rpc.deadline.at:
+            self.deadlines.drop(rpc.deadline)
+            rpc.deadline = self.deadlines.add(at, lambda now: self._due(now, rpc))
+
+    def _due(self, now: float, rpc: Rpc) -> None:
+        for tx in rpc.txs:
+            if not tx.done and tx.until <= now:
+                self._waited_out(now, tx)
+        if rpc.open and now >= rpc.hard:
+            self._overdue(now, rpc)
+        out = [tx.until for tx in rpc.txs if not tx.done]
+        if rpc.open or out:
+            self._watch(rpc, min(out + [rpc.hard] if rpc.open else out))
+
     def tx_over(self, now: float, tx: Tx, outcome: Outcome, value: bytes | None = None,
-                report: Report = NO_REPORT) -> None:  # fmt: skip
-        """A transmission is over; a value with it is the RPC's answer."""
+                report: Report = NO_REPORT, age: float = 0.0) -> None:  # fmt: skip
+        """A transmission is over, as was read `age` ms after it came; a value with it is the RPC's answer."""
         self.counters.must(not tx.done, "a transmission ends once")
         if tx.done:
             return
         tx.done, rpc = True, tx.rpc
         rpc.live -= 1
-        self.deadlines.drop(tx.deadline)
-        self.counters.add(f"tx.{outcome.name.lower()}")
+        self.counters.add(TX_NAMES[outcome])
         if outcome == Outcome.COMPLETED and rpc.open:
             self._answer(rpc, bulk(value), "completed")
         elif rpc.parting and rpc.open:
             self._answer(rpc, b"-ERR failed\r\n", "errored")
-        self.node.tx_ended(now, str(rpc.number), tx.n, outcome, not rpc.open, now - tx.sent, report)
+        # Danger: the time for which an answer stood unread here taken for its server's.
+        took = max(0.0, now - tx.sent - age)
+        self.node.tx_ended(now, str(rpc.number), tx.n, outcome, not rpc.open, took, report)
         self._free(rpc)
         self.decide(now)
 
@@ -211,7 +243,7 @@
         if not rpc.open or not self.carrier.carry(self.now, tx):
             self._unsent.append(tx)
             return
-        tx.deadline = self.deadlines.add(until, lambda at: self._waited_out(at, tx))
+        self._watch(rpc, until)
 
     def cancel(self, rpc_id: str, tx: int) -> None:
         rpc = self.rpcs.get(int(rpc_id))
@@ -222,8 +254,11 @@
             self.tx_over(self.now, rpc.txs[tx], Outcome.CANCELLED)
 
     def exhaust(self, rpc_id: str, retry_after_ms: float) -> None:
+        self._final(rpc_id, self._busy(retry_after_ms), "exhausted")
+
+    def _busy(self, retry_after_ms: float) -> bytes:
         wait = min(retry_after_ms, self.deployment.max_retry_after_ms)
-        self._final(rpc_id, b"-BUSY %d\r\n" % wait if wait >= 1 else b"-BUSY\r\n", "exhausted")
+        return b"-BUSY %d\r\n" % wait if wait >= 1 else b"-BUSY\r\n"
 
     def error(self, rpc_id: str) -> None:
         self._final(rpc_id, b"-ERR failed\r\n", "errored")
@@ -242,6 +277,24 @@
     def log(self, text: str) -> None:
         self.logger.info(text)
 
+    def late(self, now: float, late: float, used: float) -> None:
+        """The loop is late with its deadlines, which wait for one more look at the sockets; CPU time used
+        since the last beat. All in ms."""
+        if self.admission.paused(late, used):
+            self.counters.add("node.away")
+            self.node.was_away(now)
+
+    def beat(self, now: float, late: float) -> None:
+        """A window of the admission has ended, seen `late` ms after."""
+        before = self.admission.burden
+        self.admission.beat(now, late)
+        burden = self.admission.burden
+        if burden or before:
+            self.counters.add("node.burdened")
+            self.node.burdened(now, burden)
+            if bool(burden) != bool(before):
+                self.log("more comes in than this node can do" if burden else "the node can do what comes in")
+
     def odd(self, what: str, text: str) -> None:
         """Something came in a form that is not known: counted, the first of them logged."""
         self.counters.add(f"odd.{what}")
@@ -255,8 +308,15 @@
         self.decide(now)
 
     def _waited_out(self, now: float, tx: Tx) -> None:
+        # Danger: after a pause of the node, answers that came in time stand unread.
+        if now < tx.rpc.hard and self.carrier.answer_stands(tx):
+            return
         self.carrier.call_off(now, tx)
-        self.tx_over(now, tx, Outcome.TIMEOUT if tx.written else Outcome.CONNECT_FAILED)
+        if tx.written:
+            outcome = Outcome.TIMEOUT
+        else:  # a node that was away has not let its dials come up
+            outcome = Outcome.MOOT if tx.sent < self.node.away_at else Outcome.CONNECT_FAILED
+        self.tx_over(now, tx, outcome)
 
     def _overdue(self, now: float, rpc: Rpc) -> None:
         # Danger: rule 1. No RPC passes its hard deadline unanswered, whatever went wrong in the decisions.
@@ -280,10 +340,12 @@
 
     def _end(self, rpc: Rpc) -> None:
         rpc.open = False
-        self.deadlines.drop(rpc.deadline)
+        if not rpc.live:
+            self.deadlines.drop(rpc.deadline)
 
     def _free(self, rpc: Rpc) -> None:
         if not rpc.open and not rpc.live:
+            self.deadlines.drop(rpc.deadline)
             self.rpcs.free(rpc.number)
             self.ids.discard(rpc.id)
 
--- a/hookpitch/core/resp.py
+++ b/hookpitch/core/resp.py
@@ -8,6 +8,7 @@
 LINE_MOST = 4096  # bytes in any other line
 ITEMS_MOST = 16  # in an array
 DEPTH_MOST = 4  # of arrays within arrays
+QUICK = 2048  # bytes of an array of bulk strings that are looked at in one go
 
 
 class Malformed(ValueError):
@@ -42,6 +43,8 @@
 
     def next(self) -> tuple[bool, Value]:
         """(True, a value), or (False, None) until more has come."""
+        if self._bulk < 0 and not self._arrays and not self._seen and (words := self._quick()) is not None:
+            return True, words
         while True:
             found, value = self._one()
             if not found:
@@ -62,6 +65,32 @@
             else:
                 return True, value
 
+    def _quick(self) -> list[Value] | None:
+        """A short array of bulk strings that has come whole; of all else None, and nothing is taken."""
+        data = self.ring.peek(QUICK)
+        if data[:1] != b"*" or data[2:4] != b"\r\n" or not data[1:2].isdigit():
+            return None
+        words: list[Value] = []
+        at, length = 4, len(data)
+        for _ in range(data[1] - 48):
+            end = data.find(b"\r\n", at, at + 8)
+            if end < 0 or data[at] != 36:  # "$"
+                return None
+            text = data[at + 1 : end]
+            if text.isdigit():
+                start = end + 2
+                at = start + int(text) + 2
+                if at > length or data[at - 2 : at] != b"\r\n":
+                    return None
+                words.append(data[start : at - 2])
+            elif text == b"-1" and not self.commands_only:
+                words.append(None)
+                at = end + 2
+            else:
+                return None
+        self.ring.skip(at)
+        return words
+
     def _one(self) -> tuple[bool, Value | tuple[list[Value], int]]:
         ring = self.ring
         if self._bulk >= 0:
@@ -125,4 +154,8 @@
 
 
 def command(*words: bytes) -> bytes:
+    if len(words) == 4:  # nearly all of them
+        a, b, c, d = words
+        sized = (len(a), a, len(b), b, len(c), c, len(d), d)
+        return b"*4\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n$%d\r\n%b\r\n" % sized
     return b"".join([b"*%d\r\n" % len(words), *map(bulk, words)])
--- a/hookpitch/net/caches.py
+++ b/hookpitch/net/caches.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
+from twisted.internet.error import ConnectBindError
 from twisted.internet.protocol import ClientFactory, connectionDone
 from twisted.python.failure import Failure
 
@@ -27,7 +28,7 @@
         super().__init__()
         self.pool, self.number = pool, -1
         self.tx: Tx | None = None
-        self.expiry: Deadline | None = None
+        self.since = 0.0  # idle since
         self.lost = False
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -53,13 +54,14 @@
             self.transport.abortConnection()
         if tx is None:
             return
+        age = self.age() if not self.lost else 0.0
         values = NO_REPORT
         if load:
             try:
                 values = report(load, "=")
             except ValueError:
                 pools.host.odd("reports", load)
-        pools.host.tx_over(now, tx, outcome, value, values)
+        pools.host.tx_over(now, tx, outcome, value, values, age)
 
     def spoilt(self, why: str) -> None:
         """What came cannot be read: the RPC may have run, and the connection is of no further use."""
@@ -126,7 +128,9 @@
         return self.connection
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: ANN401, N802
-        self.pool.dial_over(self, False)
+        # Danger: no descriptor or port left here, taken for the server's fault, shuts out all in turn.
+        own = reason.check(ConnectBindError) is not None
+        self.pool.dial_over(self, False, Outcome.MOOT if own else Outcome.CONNECT_FAILED)
 
 
 class Pool:
@@ -137,13 +141,13 @@
         self.idle: list[Connection] = []  # the latest used last
         self.waiting: deque[Tx] = deque()
         self.dials: dict[_Dial, None] = {}
+        self.expiry: Deadline | None = None
         self.started = 0.0
         self.retired = False  # the server lives elsewhere now
 
     def carry(self, tx: Tx) -> bool:
         while self.idle:
             connection = self.idle.pop()
-            self.pools.clock.deadlines.drop(connection.expiry)
             if self._clean(connection):
                 connection.begin(tx)
                 return True
@@ -175,17 +179,18 @@
         dial.deadline = pools.clock.deadlines.add(until, lambda _: connector.disconnect())
         return True
 
-    def dial_over(self, dial: _Dial, up: bool) -> None:
+    def dial_over(self, dial: _Dial, up: bool, outcome: Outcome = Outcome.CONNECT_FAILED) -> None:
         pools = self.pools
         self.dials.pop(dial, None)
         pools.clock.deadlines.drop(dial.deadline)
         if up:
             return
         pools.held -= 1
-        pools.host.counters.add("dials.failed")
+        own = outcome != Outcome.CONNECT_FAILED
+        pools.host.counters.add("dials.no_descriptor" if own else "dials.failed")
         if len(self.waiting) > len(self.dials):
             tx = self.waiting.popleft()
-            pools.host.tx_over(pools.clock.now(), tx, Outcome.CONNECT_FAILED)
+            pools.host.tx_over(pools.clock.now(), tx, outcome)
 
     def made(self, connection: Connection) -> None:
         dial = next(d for d in self.dials if d.connection is connection)
@@ -193,22 +198,33 @@
         self.free(connection)
 
     def free(self, connection: Connection) -> None:
-        if connection.lost or not self._clean(connection):  # what waits has a dial of its own
+        if connection.lost:
             return
-        if self.waiting:
-            connection.begin(self.waiting.popleft())
+        if self.waiting:  # what waits has a dial of its own, too
+            if self._clean(connection):
+                connection.begin(self.waiting.popleft())
         elif self.retired:
             connection.transport.loseConnection()
         else:
-            pools = self.pools
+            connection.since = self.pools.host.now
             self.idle.append(connection)
-            until = pools.clock.now() + pools.idle_ms
-            connection.expiry = pools.clock.deadlines.add(until, lambda _: self.shut(connection))
+            self._expire()
+
+    def _expire(self) -> None:
+        """One deadline for all that are idle: that of the longest idle one."""
+        if self.expiry is None and self.idle:
+            until = self.idle[0].since + self.pools.idle_ms
+            self.expiry = self.pools.clock.deadlines.add(until, self._expired)
+
+    def _expired(self, now: float) -> None:
+        self.expiry = None
+        while self.idle and self.idle[0].since + self.pools.idle_ms <= now:
+            self.shut(self.idle[0])
+        self._expire()
 
     def shut(self, connection: Connection) -> None:
         if connection in self.idle:
             self.idle.remove(connection)
-            self.pools.clock.deadlines.drop(connection.expiry)
             connection.transport.loseConnection()
 
     def shut_idle(self) -> None:
@@ -219,7 +235,6 @@
         self.pools.held -= 1
         if connection in self.idle:
             self.idle.remove(connection)
-            self.pools.clock.deadlines.drop(connection.expiry)
 
 
 class Pools:
@@ -245,6 +260,12 @@
         elif isinstance(connection, Pool) and tx in connection.waiting:
             connection.waiting.remove(tx)
 
+    def answer_stands(self, tx: Tx) -> bool:
+        connection = tx.carrier
+        if isinstance(connection, Connection) and connection.tx is tx and connection.kernel():
+            getattr(connection.transport, "doRead", lambda: None)()
+        return tx.done
+
     def close_idle(self, server: str) -> None:
         if server in self.pools:
             self.pools[server].shut_idle()
--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
+from itertools import islice
 from typing import Any
 
 from twisted.internet.interfaces import IHalfCloseableProtocol
@@ -26,6 +27,8 @@
 IDLE_MS = 2000.0  # a connection on which nothing is asked is kept for so long at the least
 SWEEP_MS = 250.0
 BATCH = 32  # commands taken at a time, before others have their turn
+GUEST_MS = 100.0  # a connection beyond the room is kept for so long, for its first command to be answered
+LOOKED_AT = 16  # connections that are weighed when one has to give way
 
 
 @implementer(IHalfCloseableProtocol)
@@ -37,8 +40,8 @@
         self.due: deque[list[bytes | None]] = deque()  # a place for each command, in order
         self.rpcs: dict[int, Rpc] = {}  # open ones, by their place's id
         self.number = -1
-        self.ending = self.lost = False  # ending: nothing more is read
-        self._taking = self.asked = False  # asked: a whole command has come
+        self.ending = self.lost = self.guest = False  # ending: nothing more is read
+        self._taking = self.asked = self.parting = False  # asked: a whole command has come
         self.since = 0.0  # the last answer, or the first byte of a command; at first the connection itself
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -47,7 +50,7 @@
         self.since = self.clients.clock.now()
         self.clients.open[self] = None
         self.host.counters.add("clients.connected")
-        self.clients.make_room()
+        self.clients.make_room(self)
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.asked and self.parser.between:
@@ -59,7 +62,7 @@
             return
         self._taking = True
         try:
-            self._take()
+            self._take(self.age())
         except Malformed as fault:
             self.host.counters.add("clients.malformed")
             self._say(b"-ERR %b\r\n" % str(fault).encode())
@@ -70,7 +73,7 @@
             self.inward.skip(len(self.inward))
         self._flush()
 
-    def _take(self) -> None:
+    def _take(self, age: float) -> None:
         for _ in range(BATCH):
             if self.ending or self.paused:
                 return
@@ -79,7 +82,7 @@
                 return
             if words:
                 self.asked = True
-                self._command(words)
+                self._command(words, age)
                 if len(self.due) >= DUE_MOST:
                     self.pauseProducing()
         # Danger: hundreds of commands that came at once keep all deadlines waiting until each was decided.
@@ -88,16 +91,22 @@
     def _say(self, answer: bytes) -> None:
         self.due.append([answer])
 
-    def _command(self, words: list[bytes]) -> None:
+    def _command(self, words: list[bytes], age: float) -> None:
         name = words[0].upper()
         if name in WORDS:
             place: list[bytes | None] = [None]
             self.due.append(place)
             rpc = None
-            if len(words) == WORDS[name]:
+            if self.guest:
+                self.host.counters.add("rpcs.no_room")
+                place[0] = b"-BUSY\r\n"
+                self.ending = True
+            elif len(words) == WORDS[name]:
                 words[0] = name
-                rpc = self.host.taken(self.clients.clock.now(), self, place, words)
-            if rpc is None:
+                rpc = self.host.taken(self.clients.clock.now(), self, place, words, age)
+            if place[0] is not None:
+                pass
+            elif rpc is None:
                 self.host.counters.add("clients.wrong")
                 place[0] = b"-ERR wrong number of words, unknown class or bad wait\r\n"
             elif rpc.open:
@@ -151,9 +160,22 @@
 
     def _end(self) -> None:
         # Danger: a command that has come in part is a client that waits: a node that leaves reads it first.
-        over = self.ending and not self.due and not len(self.outward)
-        if not self.lost and (over or (self.clients.leaving is not None and self.idle)):
+        if self.lost:
+            return
+        if self.ending and not self.due and not len(self.outward):
             self.transport.loseConnection()
+        elif self.clients.leaving is not None and self.idle and not self.parting:
+            self.parting = True
+            self.clients.clock.deadlines.add(self.clients.clock.now(), self._part)
+
+    def _part(self, now: float) -> None:
+        self.parting = False
+        if not self.lost and self.idle:
+            # Danger: an RPC that comes between the last look and the close is lost.
+            if self.kernel():
+                getattr(self.transport, "doRead", lambda: None)()
+            if not self.lost and self.idle:
+                self.end_now()
 
     def readConnectionLost(self) -> None:  # noqa: N802
         self.host.client_left(self.clients.clock.now(), list(self.rpcs.values()), reads=True)
@@ -179,9 +201,11 @@
 class Clients(Factory):
     noisy = False
 
-    def __init__(self, host: Host, clock: Clock, most: int, memory: int) -> None:
-        self.host, self.clock, self.most, self.memory = host, clock, most, memory
+    def __init__(self, host: Host, clock: Clock, most: int, memory: int, room: int = 1 << 20) -> None:
+        """From `most` connections on idle ones give way, beyond `room` newcomers are guests."""
+        self.host, self.clock, self.most, self.memory, self.room = host, clock, most, memory, room
         self.open: dict[Client, None] = {}  # the one that was answered last stands last
+        self.guests = 0
         clock.deadlines.add(clock.now() + SWEEP_MS, self.sweep)
         self.leaving: Callable[[], None] | None = None
 
@@ -192,12 +216,31 @@
         gauges = f"clients.open:{len(self.open)}\r\nrpcs.open:{len(self.host.rpcs)}\r\n"
         return (gauges + self.host.counters.lines()).encode()
 
-    def make_room(self) -> None:
+    def make_room(self, newcomer: Client) -> None:
         """Danger: clients that keep connections and use none shut all others out."""
-        if len(self.open) > self.most:
-            idle = next((client for client in self.open if client.idle and not client.unread()), None)
-            if idle is not None:
-                self.close(idle, "closed_idle")
+        if len(self.open) <= self.most:
+            return
+        for client in list(islice(self.open, LOOKED_AT)):
+            if client.due or client.ending:  # Danger: the same busy ones weighed again for each newcomer
+                del self.open[client]
+                self.open[client] = None
+        for client in islice(self.open, LOOKED_AT):
+            if client.idle and client is not newcomer and not client.unread():
+                return self.close(client, "closed_idle")
+        if len(self.open) > self.room:
+            # Danger: with no descriptor left, Twisted closes what it accepts, with an RPC on it. A guest is
+            # answered that there is no room, and goes.
+            newcomer.guest = True
+            self.host.counters.add("clients.guests")
+            self.clock.deadlines.add(self.clock.now() + GUEST_MS, lambda _: self.part(newcomer))
+            for client in islice(self.open, LOOKED_AT):
+                silent = not client.asked and client.parser.between and client is not newcomer
+                if silent and not client.kernel():
+                    return self.close(client, "closed_silent")
+
+    def part(self, guest: Client) -> None:
+        if not guest.lost and guest.idle:
+            self.close(guest, "closed_silent")
 
     def touch(self, client: Client) -> None:
         if client in self.open:
@@ -225,7 +268,7 @@
     def close(self, client: Client, why: str) -> None:
         self.host.counters.add(f"clients.{why}")
         client.ending = True
-        client.drained()
+        client.end_now()
 
     def spare_memory(self) -> None:
         """Danger: clients that ask and never read; the node would be killed for memory."""
--- a/hookpitch/net/clock.py
+++ b/hookpitch/net/clock.py
@@ -18,6 +18,8 @@
         self._offset = unix() - monotonic()
         self._call: Any = None
         self.deadlines = Deadlines(self._arm)
+        self.late: Callable[[float, float], None] | None = None  # told the time and by how much
+        self.late_ms = float("inf")
 
     def now(self) -> float:
         return (self._monotonic() + self._offset) * 1000
@@ -30,5 +32,16 @@
             self._call = self._reactor.callLater(delay, self._run)
 
     def _run(self) -> None:
+        self._call = None
+        now = self.now()
+        by = now - self.deadlines.first
+        if by > self.late_ms and self.late is not None:
+            # Danger: after a pause, what came in time stands unread, and its deadline would be seen first.
+            self.late(now, by)
+            self._call = self._reactor.callLater(0, self._run_all)
+            return
+        self.deadlines.run(now)
+
+    def _run_all(self) -> None:
         self._call = None
         self.deadlines.run(self.now())
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -13,9 +13,11 @@
 from hookpitch.net.clock import Clock
 from hookpitch.net.discovery import Discovery
 from hookpitch.net.origin import OriginConnection
+from hookpitch.net.pulse import Pulse
 from hookpitch.net.start import Post
 
 BACKLOG = 4096
+OWN = 14  # descriptors: standard ones, the poller's, discovery's two, Twisted's reserve
 SERVE_ON_MS = 500.0  # after being asked to leave, while clients still come
 REPLY_MS = 150.0  # past the longest deadline, for the last answers to be written
 
@@ -25,9 +27,14 @@
                  logger: Any) -> None:  # noqa: ANN401  # fmt: skip
         self.reactor, self.clock, self.post, self.logger = reactor, clock, post, logger
         self.host = Host(clock.now(), post.deployment, clock.deadlines, counters, logger)
-        # Half of the descriptors for servers, the rest for clients; some for the log, discovery and the like.
-        self.pools = Pools(reactor, clock, self.host, post.sockets // 2, OriginConnection)
-        self.clients = Clients(self.host, clock, post.sockets // 3, post.memory_mb << 19)
+        # Half of the descriptors for servers, the rest for clients; some for the log, discovery and the like,
+        # and some for clients that are only told that there is no room.
+        third, guests = post.sockets // 3, max(4, post.sockets // 32)
+        servers = min(post.sockets // 2, post.sockets - third - guests - OWN)
+        self.pools = Pools(reactor, clock, self.host, servers, OriginConnection)
+        room = post.sockets - servers - guests - OWN
+        self.clients = Clients(self.host, clock, third, post.memory_mb << 19, room)
+        self.pulse = Pulse(clock, self.host)
         self.discovery = Discovery(reactor, clock, self.host, post.discovery, post.seq)
         self.host.carrier, self.host.watcher = self.pools, self.discovery
         self.leaving = False
@@ -62,6 +69,11 @@
         deadlines.add(until + longest + REPLY_MS, lambda _: self._end())
 
     def _close(self) -> None:
+        # Danger: the kernel has taken connections that a busy loop has not; they would be reset.
+        sessions = -1
+        while sessions != getattr(self.port, "sessionno", -1):
+            sessions = self.port.sessionno
+            self.port.doRead()
         self.port.stopListening()
         self.clients.leave(self._end)
 
--- /dev/null
+++ b/hookpitch/net/pulse.py
@@ -0,0 +1,32 @@
+"""The node's pulse: a beat a window, by which the node sees how late its own loop is."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from hookpitch.core.admission import AWAY
+from hookpitch.core.host import Host
+from hookpitch.net.clock import Clock
+
+
+class Pulse:
+    """Tells the host of each beat, and at once of a loop that was away."""
+
+    def __init__(self, clock: Clock, host: Host, cpu: Callable[[], float] = time.process_time) -> None:
+        """`cpu` tells the process's CPU time in seconds."""
+        self.clock, self.host, self._cpu, self._used = clock, host, cpu, cpu()
+        clock.late, clock.late_ms = self._late, AWAY * host.admission.aim
+        self._next()
+
+    def _next(self) -> None:
+        due = self.clock.now() + self.host.admission.window
+        self.clock.deadlines.add(due, lambda now: self._beat(now, now - due))
+
+    def _beat(self, now: float, late: float) -> None:
+        self._next()
+        self._used = self._cpu()
+        self.host.beat(now, late)
+
+    def _late(self, now: float, by: float) -> None:
+        self.host.late(now, by, (self._cpu() - self._used) * 1000)
--- /dev/null
+++ b/hookpitch/net/turns.py
@@ -0,0 +1,50 @@
+"""The node's reactor: Twisted's on epoll, with short turns in which servers' answers go before new work.
+
+Source: `EPollReactor.doPoll` of Twisted; only the order and the number of the events taken differ.
+"""
+
+from __future__ import annotations
+
+import errno
+
+from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.main import installReactor
+from twisted.internet.tcp import Port, Server
+
+TURN_EVENTS = 48  # looked at between two looks at the deadlines; the kernel gives those left over next time
+ACCEPTS = 16  # new connections taken in one turn
+LATER = (Server, Port)  # clients and their door
+
+
+class Turns(EPollReactor):
+    def doPoll(self, timeout: float | None) -> None:  # noqa: N802
+        """One turn. Danger: hundreds of ready clients in one turn hold up every deadline and every answer."""
+        try:
+            found = self._poller.poll(-1 if timeout is None else timeout, TURN_EVENTS)
+        except OSError as fault:
+            if fault.errno == errno.EINTR:
+                return
+            raise
+        selectables, act, later = self._selectables, self._doReadOrWrite, []
+        for fd, event in found:
+            selectable = selectables.get(fd)
+            if isinstance(selectable, LATER):
+                later.append((fd, event))
+            elif selectable is not None:
+                act(selectable, fd, event)
+        for fd, event in later:
+            selectable = selectables.get(fd)  # what came before may have closed it
+            if selectable is not None:
+                act(selectable, fd, event)
+                if isinstance(selectable, Port) and selectable.numberAccepts > ACCEPTS:
+                    # Danger: Twisted takes ever more at a time while a burst lasts.
+                    selectable.numberAccepts = ACCEPTS
+
+    doIteration = doPoll  # noqa: N815
+
+
+def install() -> Turns:
+    """Make it the process's reactor; to be called before `twisted.internet.reactor` is imported."""
+    reactor = Turns()
+    installReactor(reactor)
+    return reactor
--- a/hookpitch/net/wire.py
+++ b/hookpitch/net/wire.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
-from socket import MSG_PEEK
+from socket import IPPROTO_TCP, MSG_PEEK, TCP_INFO
+from struct import unpack_from
+from typing import Any
 
+from twisted.internet.error import ConnectionDone
+from twisted.internet.tcp import Connection as TcpConnection
 from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
 
 from hookpitch.core.ring import Ring
 
 CHUNK = 65536  # bytes handed to the transport at a time, once it has written those before
+INFO_BYTES, LAST_RECEIVED = 56, 52  # of Linux' struct tcp_info (linux/tcp.h): tcpi_last_data_recv, in ms
 
 
 class _Outflow:
@@ -30,15 +36,34 @@
     def __init__(self) -> None:
         self.inward, self.outward = Ring(), Ring()
         self._flowing = False
+        self._plain: Any = None  # the transport, where bytes can go straight to its socket
 
     def connectionMade(self) -> None:  # noqa: N802
-        if hasattr(self.transport, "setTcpNoDelay"):
-            self.transport.setTcpNoDelay(True)
+        transport = self.transport
+        if isinstance(transport, TcpConnection) and not transport.TLS:
+            self._plain = transport
+        if hasattr(transport, "setTcpNoDelay"):
+            transport.setTcpNoDelay(True)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Past the class's own line buffer, which would be a second copy of what the ring holds."""
+        self.rawDataReceived(data)
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         self.inward.write(data)
         self.came()
 
+    def age(self) -> float:
+        """Milliseconds since the newest byte came to this machine; 0 where that cannot be known."""
+        socket = getattr(self.transport, "socket", None)
+        if socket is None:
+            return 0.0
+        try:
+            info = socket.getsockopt(IPPROTO_TCP, TCP_INFO, INFO_BYTES)
+            return float(unpack_from("I", info, LAST_RECEIVED)[0])
+        except (OSError, ValueError):
+            return 0.0
+
     def came(self) -> None:
         """More stands in the inward ring."""
         raise NotImplementedError
@@ -61,6 +86,17 @@
         return True
 
     def put(self, data: bytes) -> None:
+        if not self._flowing:
+            plain = self._plain
+            if plain is not None and plain.connected and not plain.disconnecting:
+                # What the kernel takes at once costs no turn of the loop and no call for room to write.
+                try:
+                    sent = plain.socket.send(data)
+                except OSError:  # the transport finds out why
+                    sent = 0
+                if sent == len(data):
+                    return
+                data = data[sent:]
         self.outward.write(data)
         if not self._flowing:
             self._flowing = True
@@ -74,5 +110,13 @@
             self.transport.unregisterProducer()
             self.drained()
 
+    def end_now(self) -> None:
+        """Close in this very turn; not to be called while the transport is being read."""
+        # Danger: Twisted closes in a later turn, and what comes in between is lost with the connection.
+        if self._plain is not None and self._plain.connected and not self._plain.disconnecting:
+            self._plain.connectionLost(Failure(ConnectionDone()))
+        else:
+            self.transport.loseConnection()
+
     def drained(self) -> None:
         """All that was put has been written."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -5,6 +5,7 @@
 
 import json
 import random
+import struct
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -341,6 +342,7 @@
         super().__init__(protocol, True)
         self.network, self.port, self.got, self.reads, self.ended = network, port, b"", True, False
         self.paused, self.pending, self.socket = False, b"", self  # pending: in the kernel, unread
+        self.aged = 0.0  # for how long what is said next has stood in the kernel
         protocol.makeConnection(self)
 
     def write(self, data: bytes) -> None:
@@ -350,6 +352,10 @@
         if self.network.watcher is not None:
             self.network.watcher(self, data)
 
+    def getsockopt(self, level: int, option: int, size: int) -> bytes:
+        """TCP_INFO, of which only the last word is told: milliseconds since the newest byte came."""
+        return struct.pack("14I", *[0] * 13, int(self.aged))
+
     def recv(self, count: int, flags: int) -> bytes:
         if not self.pending:
             raise BlockingIOError
