--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -264,8 +264,9 @@
             # Danger: a limit cut for what befalls any server, or each slip of the one origin, starves all.
             if now - s.answered_at > self.pause or not (s is self.origin or outcome == Outcome.SPOILT):
                 self._strike(s)
-        elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent and not away | tx.counted:
-            self._strike(s)
+        elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent:
+            if not tx.counted and not away:
+                self._strike(s)
         # Danger: one out from each of hundreds of nodes is a crowd for one server.
         span = max(took, s.latency if outcome <= Outcome.MISS else TARGET * rpc.method.soft_ms)
         s.rest_until = now + span * (1 / min(s.limit, 1.0) - 1) * (0.5 + self._chance())
