--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -325,7 +325,7 @@
         # Danger: what is over a share in the place of what is within. Of the rest the least gain goes first.
         if not (share and share.spent(now)) and low + width * self._chance() >= self.burden:
             return -1.0
-        return min(self.retry_after, m.soft_ms) * (0.5 + self._chance() / 2)
+        return min(self.retry_after, m.soft_ms) * (0.5 + self._chance() / 2) if self.retry_after > 0 else 0.0
 
     # ---- decisions, one a call
 
--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -5,6 +5,7 @@
 import re
 from collections import deque
 from collections.abc import Mapping, Sequence
+from functools import lru_cache
 from typing import Protocol
 
 from hookpitch.balancer.decisions import Node
@@ -23,6 +24,8 @@
 FIGURES = (b"d", b"r", b"size")
 CUSTOMER = b"t"  # the name under which an RPC tells its customer
 NO_REPORT: Report = {}
+EXTRAS_KEPT = 512  # of what clients said beside their keys, with how it was read
+EXTRAS_MOST = 512  # bytes
 ODD_LOGGED = 3  # lines for each kind of odd input
 TX_NAMES = [f"tx.{outcome.name.lower()}" for outcome in Outcome]
 
@@ -113,7 +116,7 @@
               age: float = 0.0) -> Rpc | None:  # fmt: skip
         """An RPC as a client wrote it, read `age` ms after it came. None where its words are wrong, or where
         it was turned away: then the place holds its answer."""
-        pairs = _pairs(words[3])
+        pairs = read_pairs(words[3])
         method = self.methods.get(pairs.get(b"c", b""))
         readable = KEY.fullmatch(words[1]) and ID.fullmatch(words[2])
         if method is None or not readable or words[2] in self.ids:
@@ -350,9 +353,10 @@
             self.ids.discard(rpc.id)
 
 
-def _pairs(extras: bytes) -> dict[bytes, bytes]:
-    """An RPC's names and values; none where one comes twice or cannot be read."""
-    if not EXTRAS.fullmatch(extras):
+@lru_cache(maxsize=EXTRAS_KEPT)
+def read_pairs(extras: bytes) -> Mapping[bytes, bytes]:
+    """An RPC's names and values; none where one comes twice or cannot be read. Clients say the same often."""
+    if len(extras) > EXTRAS_MOST or not EXTRAS.fullmatch(extras):
         return {}
     listed = [pair.partition(b"=")[::2] for pair in extras.split(b",")]
     pairs = dict(listed)
--- a/hookpitch/core/resp.py
+++ b/hookpitch/core/resp.py
@@ -43,6 +43,8 @@
 
     def next(self) -> tuple[bool, Value]:
         """(True, a value), or (False, None) until more has come."""
+        if not len(self.ring):
+            return False, None
         if self._bulk < 0 and not self._arrays and not self._seen and (words := self._quick()) is not None:
             return True, words
         while True:
@@ -68,6 +70,14 @@
     def _quick(self) -> list[Value] | None:
         """A short array of bulk strings that has come whole; of all else None, and nothing is taken."""
         data = self.ring.peek(QUICK)
+        if data.startswith(b"*4\r\n$"):  # nearly all commands
+            parts = data.split(b"\r\n", 9)
+            if len(parts) == 10:
+                _, sa, a, sb, b, sc, c, sd, d, rest = parts
+                sized = b"$%d$%d$%d$%d" % (len(a), len(b), len(c), len(d))
+                if sa + sb + sc + sd == sized:  # else a word holds a line's end, or a length is odd
+                    self.ring.skip(len(data) - len(rest))
+                    return [a, b, c, d]
         if data[:1] != b"*" or data[2:4] != b"\r\n" or not data[1:2].isdigit():
             return None
         words: list[Value] = []
--- a/hookpitch/net/turns.py
+++ b/hookpitch/net/turns.py
@@ -6,10 +6,14 @@
 from __future__ import annotations
 
 import errno
+import sys
+from select import EPOLLIN
+from typing import Any
 
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.main import installReactor
 from twisted.internet.tcp import Port, Server
+from twisted.python import log
 
 TURN_EVENTS = 48  # looked at between two looks at the deadlines; the kernel gives those left over next time
 ACCEPTS = 16  # new connections taken in one turn
@@ -25,21 +29,32 @@
             if fault.errno == errno.EINTR:
                 return
             raise
-        selectables, act, later = self._selectables, self._doReadOrWrite, []
+        selectables, later = self._selectables, []
         for fd, event in found:
             selectable = selectables.get(fd)
             if isinstance(selectable, LATER):
                 later.append((fd, event))
             elif selectable is not None:
-                act(selectable, fd, event)
+                self._act(selectable, fd, event)
         for fd, event in later:
             selectable = selectables.get(fd)  # what came before may have closed it
             if selectable is not None:
-                act(selectable, fd, event)
+                self._act(selectable, fd, event)
                 if isinstance(selectable, Port) and selectable.numberAccepts > ACCEPTS:
                     # Danger: Twisted takes ever more at a time while a burst lasts.
                     selectable.numberAccepts = ACCEPTS
 
+    def _act(self, selectable: Any, fd: int, event: int) -> None:  # noqa: ANN401
+        if event != EPOLLIN:
+            return self._doReadOrWrite(selectable, fd, event)
+        try:
+            why = selectable.doRead()
+        except Exception:  # one connection's fault ends that connection, as in Twisted's own loop
+            why = sys.exc_info()[1]
+            log.err()
+        if why:
+            self._disconnectSelectable(selectable, why, True)
+
     doIteration = doPoll  # noqa: N815
 
 
