--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -262,10 +262,7 @@
             if outcome == Outcome.CONNECT_FAILED and died and s.started < tx.sent:
                 self._cool(s, now)
             # Danger: a limit cut for what befalls any server, or each slip of the one origin, starves all.
-            # Danger: one break resets all connections of a server at once: one failure, not many.
-            again = outcome == Outcome.RESET and tx.sent < s.struck_at
-            slip = again or s is self.origin or outcome == Outcome.SPOILT
-            if now - s.answered_at > self.pause or not slip:
+            if now - s.answered_at > self.pause or not (s is self.origin or outcome == Outcome.SPOILT):
                 self._strike(s)
         elif outcome == Outcome.TIMEOUT and max(s.answered_at, s.struck_at) < tx.sent:
             if not tx.counted and not away:
