--- a/hookpitch/__main__.py
+++ b/hookpitch/__main__.py
@@ -26,6 +26,10 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
         told = post(os.environ)
+        if os.environ.get("HOOKPITCH_CONFIG"):  # what is off is not even imported
+            from hookpitch.net.operator import house
+
+            house(os.environ)
     except ValueError as fault:
         print(f"hookpitch: cannot start: {fault}", file=sys.stderr)
         return 2
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -128,3 +128,14 @@
     finally:
         node.kill()
         node.stderr.close()
+
+
+def test_the_operators_file_is_checked_whole_at_the_start(tmp_path: Path) -> None:
+    path, own = tmp_path / "node.json", tmp_path / "node.toml"
+    path.write_text(json.dumps(TOLD))
+    own.write_text("[gatewya]\n")
+    done = subprocess.run(
+        [sys.executable, "-m", "hookpitch"], env={"PROXY_CONFIG": str(path), "HOOKPITCH_CONFIG": str(own)},
+        capture_output=True, text=True, cwd=Path(__file__).parent.parent, timeout=60, check=False,
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and "gatewya: no such section" in done.stderr
