Faults and figures of the lab are named once

Cause: the lists stood twice, in experiment.py and again in fuzz.py and figures.py. Change: the second ones are taken from the first.

--- a/hookpitch/lab/figures.py
+++ b/hookpitch/lab/figures.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from hookpitch.lab.experiment import Expectation, Experiment
+from hookpitch.lab.experiment import FIGURES, Expectation, Experiment
 from hookpitch.lab.run import Ended
 from hookpitch.standin.history import Event
 
@@ -96,19 +96,7 @@
 def summary(ended: Ended) -> dict[str, Any]:
     """All figures as plain data, for `--json` and for comparisons."""
     x, rpcs = ended.experiment, seen(ended.experiment, ended.history.events)
-    names = (
-        "served",
-        "completed",
-        "exhausted",
-        "errored",
-        "late",
-        "p50_ms",
-        "p99_ms",
-        "p999_ms",
-        "transmissions",
-        "fetches_per_s",
-        "misses",
-    )
+    names = FIGURES[: FIGURES.index("misses") + 1]
     whole = {n: round(figure(n, ended, rpcs, 0.0, x.seconds), 4) for n in names}
     by_method = {
         m.name: {
--- a/hookpitch/lab/fuzz.py
+++ b/hookpitch/lab/fuzz.py
@@ -9,34 +9,21 @@
 
 import msgspec
 
-from hookpitch.lab.experiment import Experiment, Fault, Fleet, Method, Net, Nodes, Origin, Traffic, read
+from hookpitch.lab.experiment import (
+    FAULTS,
+    Experiment,
+    Fault,
+    Fleet,
+    Method,
+    Net,
+    Nodes,
+    Origin,
+    Traffic,
+    read,
+)
 from hookpitch.lab.run import Ended, Run
 
-KINDS = (
-    "crash",
-    "vanish",
-    "silence",
-    "half_silence",
-    "slow",
-    "drain",
-    "add",
-    "flush",
-    "mute",
-    "garble",
-    "reset",
-    "origin_slow",
-    "origin_fails",
-    "discovery_down",
-    "discovery_restart",
-    "discovery_lag",
-    "node_kill",
-    "node_leave",
-    "node_pause",
-    "surge",
-    "hot_key",
-    "rude",
-    "far",
-)
+KINDS = tuple(what for what in FAULTS if what != "node_slow")
 SECONDS = 8.0
 
 
