A door for operators, bans, drains, and a second process beside the first

Cause: the node knew no management address and no inherited socket; the second process exited with 2, PAUSE was unheard.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -44,6 +44,7 @@
 class Server:  # all that is known of one cache server, or of the origin
     def __init__(self, id: str) -> None:
         self.id, self.state, self.zone, self.cell, self.size, self.kind = id, State.GONE, "", 0, 1.0, 0
+        self.listed = State.GONE  # as discovery has it; `state`: the same, or DRAINING while banned
         self.live: dict[Tx, None] = {}  # transmissions out, oldest first
         self.limit, self.least, self.growth, self.latency = START_LIMIT, 1.0, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
@@ -156,7 +157,7 @@
         # Danger: hundreds of nodes that start together ask discovery at once; it turns nearly all away.
         self.ask_at = now + self.ask_within / 2 * (1 - 1 / self.nodes) * self._chance() if d.must_ask else FAR
         self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
-        self.servers, self.rpcs = dict[str, Server](), dict[str, Rpc]()
+        self.servers, self.rpcs, self.bans = dict[str, Server](), dict[str, Rpc](), dict[str, None]()
         self.origin, self.ring = None, array("Q")  # a point, and in sixteen bits a cache's place in `caches`
         self.buckets, self.caches = dict[int, Bucket](), list[Server]()  # asked for so far; all on the ring
         self.closing, self.freed = deque[Server](), deque[Server]()
@@ -193,7 +194,7 @@
                 s.started, s.failures, s.off, s.answered_at = started, 0, False, -FAR
                 s.limit = min(s.limit, START_LIMIT)
                 self._cool(s, started)
-            changed |= s.state != e.state
+            changed |= s.listed != e.state
             if e.state == State.READY and (not s.points or s.size != max(e.size, 1e-3)):
                 resized.append(s)
             s.zone, s.cell, s.size, s.kind = e.zone, e.cell, max(e.size, 1e-3), e.kind
@@ -201,12 +202,41 @@
                 s.least, s.limit = LEAST, min(START_LIMIT, ORIGIN_START / self.nodes)
             self._state(s, e.state)
         for s in self.servers.values() if kind != ListKind.DELTA else ():
-            if s.id not in listed and s.state != State.GONE:
+            if s.id not in listed and s.listed != State.GONE:
                 changed = True
                 self._state(s, State.GONE)
         if changed or resized:
             self._rebuild(resized)
 
+    def server_banned(self, now: float, id: str, banned: bool) -> None:
+        """An operator leaves a server out, or takes it back; whatever any list says until then."""
+        self.now, s = now, self.servers.get(id)
+        if banned == (id in self.bans):
+            return
+        if banned:
+            self.bans[id] = None
+        else:
+            del self.bans[id]
+        if s is None:
+            return
+        if not banned:
+            # Danger: what was restarted while out is cold, whenever a list tells of it; and strikes from
+            # before would keep it waiting for its first RPC.
+            s.failures, s.off, s.backoff, s.limit = 0, False, 0.0, min(s.limit, START_LIMIT)
+            self._cool(s, now)
+        self._state(s, s.listed)
+        self._rebuild([] if s.points or s.state != State.READY else [s])
+
+    def bannable(self, id: str) -> bool:
+        """Whether an operator may name it: a listed cache server, or one that is out by hand already."""
+        s = self.servers.get(id)
+        return id in self.bans or (s is not None and s.listed != State.GONE and s.kind != self.origin_kind)
+
+    def members(self) -> tuple[int, int]:
+        """Cache servers in the list, and those of them that are avoided now, by hand or by choice."""
+        listed = [s for s in self.servers.values() if s.listed != State.GONE and s.kind != self.origin_kind]
+        return len(listed), sum(s.state != State.READY or s.off for s in listed)
+
     def rpc_arrived(self, now: float, id: str, key: str, method: str, customer: str, write: bool,
                     grace: float, age: float = 0.0) -> None:  # fmt: skip
         self.now = now
@@ -582,6 +612,7 @@
     # ---- the list and the ring
 
     def _state(self, s: Server, state: State) -> None:
+        s.listed, state = state, State.DRAINING if s.id in self.bans and state == State.READY else state
         if state != State.READY and s.state == State.READY:
             self._leave(s, state == State.GONE)
         s.state, s.ok = state, state == State.READY and not s.off and self.now >= s.cold_until
--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -27,6 +27,7 @@
 EXTRAS_KEPT = 512  # of what clients said beside their keys, with how it was read
 EXTRAS_MOST = 512  # bytes
 ODD_LOGGED = 3  # lines for each kind of odd input
+FINAL = {"completed": "completed", "exhausted": "rejected", "errored": "failed"}  # in operators' words
 TX_NAMES = [f"tx.{outcome.name.lower()}" for outcome in Outcome]
 
 
@@ -79,10 +80,11 @@
     """An RPC from the time it is taken until it is answered and no transmission is out."""
 
     __slots__ = ("number", "client", "place", "command", "key", "id", "extras", "value", "hard", "deadline",
-                 "txs", "live", "open", "parting")  # fmt: skip
+                 "txs", "live", "open", "parting", "method")  # fmt: skip
 
-    def __init__(self, client: Client, place: list[bytes | None], words: Sequence[bytes]) -> None:
-        self.client, self.place = client, place
+    def __init__(self, client: Client, place: list[bytes | None], words: Sequence[bytes],
+                 method: str) -> None:  # fmt: skip
+        self.client, self.place, self.method = client, place, method
         self.command, self.key, self.id, self.extras = words[:4]
         self.value = words[4] if len(words) > 4 else None
         self.number, self.live, self.hard = -1, 0, 0.0
@@ -103,6 +105,7 @@
         self.admission = Admission(now, min((m.soft_ms for m in deployment.methods), default=1000.0))
         self.rpcs: Slots[Rpc] = Slots()
         self.ids: set[bytes] = set()  # of all RPCs in slots
+        self.open = 0  # RPCs taken and not ended
         self.connections: Slots[object] = Slots()
         self.carrier: Carrier
         self.watcher: Watcher
@@ -131,12 +134,14 @@
             # Danger: in a surge, what is refused must cost next to nothing: no slot, deadline or bucket.
             self.admission.turned_away()
             self.counters.add("rpcs.turned_away")
+            self.counters.add(f"rejected.{method.name}")
             place[0] = self._busy(max(0.0, wait))
             return None
-        rpc = Rpc(client, place, words)
+        rpc = Rpc(client, place, words, method.name)
         self.ids.add(rpc.id)
         rpc.number, rpc.hard = self.rpcs.add(rpc), now + grace - age
         self.counters.add("rpcs.taken")
+        self.open += 1
         key, write = rpc.key.decode("latin-1"), rpc.value is not None
         self.node.rpc_arrived(now, str(rpc.number), key, method.name, customer, write, grace, age)
         self.decide(now)
@@ -144,6 +149,12 @@
             self._watch(rpc, rpc.hard)
         return rpc
 
+    def refused(self, words: Sequence[bytes]) -> None:
+        """An RPC was refused before it was looked at; counted where its method can be told."""
+        method = self.methods.get(read_pairs(words[3]).get(b"c", b"")) if len(words) > 3 else None
+        if method is not None:
+            self.counters.add(f"rejected.{method.name}")
+
     def _watch(self, rpc: Rpc, at: float) -> None:
         """The RPC's one place among the deadlines: the next time at which something of it may be over."""
         if rpc.deadline is None or rpc.deadline.call is None or at < rpc.deadline.at:
@@ -216,6 +227,13 @@
         self.node.servers_listed(now, kind, entries)
         self.decide(now)
 
+    def ban(self, now: float, id: str, banned: bool) -> None:
+        """An operator leaves a server out, or takes it back."""
+        self.node.server_banned(now, id, banned)
+        if banned:
+            self.carrier.close_idle(id)
+        self.decide(now)
+
     def decide(self, now: float) -> None:
         """Pull decisions until there is none."""
         if self._deciding:  # an input that came of a decision: the loop that is on goes on
@@ -338,11 +356,13 @@
 
     def _answer(self, rpc: Rpc, answer: bytes, how: str) -> None:
         self.counters.add(f"rpcs.{how}")
+        self.counters.add(f"{FINAL[how]}.{rpc.method}")
         self._end(rpc)
         rpc.client.answered(rpc.place, answer)
 
     def _end(self, rpc: Rpc) -> None:
         rpc.open = False
+        self.open -= 1
         if not rpc.live:
             self.deadlines.drop(rpc.deadline)
 
--- a/hookpitch/net/caches.py
+++ b/hookpitch/net/caches.py
@@ -24,6 +24,8 @@
 class Connection(Wire):
     """One connection to a server, with at most one transmission on it."""
 
+    counted = False  # among what operators are told of
+
     def __init__(self, pool: Pool) -> None:
         super().__init__()
         self.pool, self.number = pool, -1
@@ -39,10 +41,21 @@
     def begin(self, tx: Tx) -> None:
         self.tx, tx.carrier, tx.written = tx, self, True
         self.put(self.request(tx))
+        if not self._flowing:
+            self.whole()
 
     def request(self, tx: Tx) -> bytes:
         raise NotImplementedError
 
+    def whole(self) -> None:
+        """The request stands whole in the kernel."""
+        if self.counted:
+            self.pool.pools.host.counters.add("upstream_requests")
+
+    def drained(self) -> None:
+        if self.tx is not None:
+            self.whole()
+
     def over(self, outcome: Outcome, value: bytes | None = None, load: str = "", reuse: bool = True) -> None:
         """The transmission is over; the connection is free for the next."""
         tx, self.tx = self.tx, None
@@ -86,6 +99,8 @@
 
 
 class CacheConnection(Connection):
+    counted = True
+
     def __init__(self, pool: Pool) -> None:
         super().__init__(pool)
         self.parser = Parser(self.inward)
--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -25,6 +25,7 @@
 DUE_MOST = 4096  # commands of one client in work
 SILENT_MS = 2500.0  # a first command, or one begun, has to be whole by then
 IDLE_MS = 2000.0  # a connection on which nothing is asked is kept for so long at the least
+DRAINED_MS = 1000.0  # in a drain, one that has not asked yet
 SWEEP_MS = 250.0
 BATCH = 32  # commands taken at a time, before others have their turn
 GUEST_MS = 100.0  # a connection beyond the room is kept for so long, for its first command to be answered
@@ -99,6 +100,7 @@
             rpc = None
             if self.guest:
                 self.host.counters.add("rpcs.no_room")
+                self.host.refused(words)
                 place[0] = b"-BUSY\r\n"
                 self.ending = True
             elif len(words) == WORDS[name]:
@@ -112,7 +114,10 @@
             elif rpc.open:
                 self.rpcs[id(place)] = rpc
         elif name == b"PING":
-            self._say(bulk(words[1]) if len(words) > 1 else b"+PONG\r\n")
+            if self.clients.paused:
+                self._say(b"-ERR draining\r\n")
+            else:
+                self._say(bulk(words[1]) if len(words) > 1 else b"+PONG\r\n")
         elif name == b"INFO":
             self._say(bulk(self.clients.info()))
         elif name in (b"CLIENT", b"SELECT"):
@@ -148,7 +153,7 @@
             self.came()  # what was read before the pause
 
     def drained(self) -> None:
-        if self.clients.leaving is not None and not self.lost and not self.ending:
+        if self.clients.draining and not self.lost and not self.ending:
             # Danger: a request that stands unread in the kernel counts as taken.
             getattr(self.transport, "doRead", lambda: None)()
         self._resume()
@@ -164,13 +169,13 @@
             return
         if self.ending and not self.due and not len(self.outward):
             self.transport.loseConnection()
-        elif self.clients.leaving is not None and self.idle and not self.parting:
+        elif self.clients.draining and self.idle and self.asked and not self.parting:
             self.parting = True
             self.clients.clock.deadlines.add(self.clients.clock.now(), self._part)
 
     def _part(self, now: float) -> None:
         self.parting = False
-        if not self.lost and self.idle:
+        if not self.lost and self.idle and self.clients.draining:
             # Danger: an RPC that comes between the last look and the close is lost.
             if self.kernel():
                 getattr(self.transport, "doRead", lambda: None)()
@@ -209,6 +214,7 @@
         self.guests = guests
         clock.deadlines.add(clock.now() + SWEEP_MS, self.sweep)
         self.leaving: Callable[[], None] | None = None
+        self.draining = self.paused = False  # draining: what is idle is closed; paused: `PING` says no
 
     def buildProtocol(self, addr: Any) -> Client:  # noqa: ANN401, N802
         return Client(self)
@@ -257,11 +263,15 @@
         """Close what never asked or has begun and not gone on, and what is idle where room is short."""
         self.clock.deadlines.add(now + SWEEP_MS, self.sweep)
         held = len(self.open)
+        kept = DRAINED_MS if self.draining else IDLE_MS
         for client in list(self.open):
-            if client.since > now - IDLE_MS:
+            if client.since > now - kept:
                 break
             if client.due or len(client.outward) or client.ending or client.paused:
                 continue
+            if self.draining and client.idle and not client.unread():
+                self.close(client, "closed_drained")
+                continue
             silent = not client.asked or not client.parser.between
             if silent and client.since <= now - SILENT_MS and not client.kernel():
                 # Danger: hundreds that connect and say nothing, or half of a command, hold every descriptor.
@@ -286,9 +296,15 @@
     def leave(self, done: Callable[[], None]) -> None:
         """Close what is idle, the rest once answered; `done` when all are closed."""
         self.leaving = done
+        self.drain(silent=True)
+        self.left()
+
+    def drain(self, silent: bool = False) -> None:
+        """Close what is idle, and what else there is once it is; `silent`: also what has not asked yet."""
+        self.draining = True
         for client in list(self.open):
+            client.asked |= silent
             client.drained()
-        self.left()
 
     def left(self) -> None:
         if self.leaving is not None and not self.open:
--- a/hookpitch/net/discovery.py
+++ b/hookpitch/net/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import h11
@@ -143,6 +143,7 @@
                  seq: int) -> None:  # fmt: skip
         self.reactor, self.clock, self.host, self.address, self.seq = reactor, clock, host, address, seq
         self.current: Watch | None = None
+        self.first: Callable[[], None] | None = None  # called once a list has come
         self.older = 0  # lists in a row that were older than the one held
 
     def watch(self, now: float) -> None:
@@ -176,6 +177,8 @@
         self.seq, self.older = seq, 0
         kind = ListKind.FULL if whole else ListKind.DELTA
         self.host.listed(self.clock.now(), kind, entries, dials)
+        if self.first is not None:
+            self.first()
 
     def lost(self, watch: Watch) -> None:
         if watch is self.current:
--- /dev/null
+++ b/hookpitch/net/management.py
@@ -0,0 +1,114 @@
+"""The operators' door: one line to a connection, one answer, and the connection ends.
+
+Invariants: at most `CALLERS` connections wait at once, each for `CALL_MS` and with `LINE_MOST` bytes at most;
+no call's work grows with open RPCs or clients. Words and answers are the operators' page's.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from twisted.internet.protocol import Factory, connectionDone
+from twisted.protocols.basic import LineOnlyReceiver
+from twisted.python.failure import Failure
+
+from hookpitch.core.deadlines import Deadline
+from hookpitch.net.clock import Clock
+
+CALLERS = 12  # at once; the one that has been silent for longest gives way
+CALL_MS = 3000.0  # a caller has its answer in hand by then, or goes
+LINE_MOST = 512  # bytes
+YES, NO = b"YES", b"NO"
+
+
+class Operated(Protocol):
+    """What the door needs of the node. Each call says why not, or nothing where it is done."""
+
+    def ready(self) -> str: ...
+    def figures(self) -> list[tuple[str, int]]: ...
+    def suspend(self, id: str) -> str: ...
+    def restore(self, id: str) -> str: ...
+    def pause(self) -> str: ...
+    def resume(self) -> str: ...
+
+
+class Caller(LineOnlyReceiver):
+    MAX_LENGTH = LINE_MOST
+    delimiter = b"\n"
+
+    def __init__(self, door: Door) -> None:
+        self.door = door
+        self.deadline: Deadline | None = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.door.came(self)
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        # Danger: a caller that goes on writing would have its further lines done as well.
+        if self in self.door.open:
+            self.door.count("door.calls")
+            self.say(self.door.answer(line.removesuffix(b"\r")))
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        if self in self.door.open:
+            self.say(NO + b" a line has at most %d bytes" % LINE_MOST)
+
+    def say(self, answer: bytes) -> None:
+        """The answer, and the end. What the caller has not read goes with the connection in the end."""
+        self.door.open.pop(self, None)
+        self.transport.write(answer + b"\n")
+        self.transport.loseConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        self.door.open.pop(self, None)
+        self.door.held -= 1
+        self.door.clock.deadlines.drop(self.deadline)
+
+
+class Door(Factory):
+    noisy = False
+
+    def __init__(self, clock: Clock, node: Operated, count: Callable[[str], None]) -> None:
+        self.clock, self.node, self.count = clock, node, count
+        self.open: dict[Caller, None] = {}  # without an answer yet, the oldest first
+        self.held = 0  # connections, also those whose answer is still being written
+        calls = {b"STATUS": node.ready, b"PAUSE": node.pause, b"RESUME": node.resume}
+        self._plain: dict[bytes, Callable[[], str]] = calls
+        self._named: dict[bytes, Callable[[str], str]] = {b"SUSPEND": node.suspend, b"RESTORE": node.restore}
+
+    def buildProtocol(self, addr: Any) -> Caller | None:  # noqa: ANN401, N802
+        # Danger: callers that read nothing hold their connection until its time is up.
+        return Caller(self) if self.held < 2 * CALLERS else None
+
+    def came(self, caller: Caller) -> None:
+        self.held += 1
+        self.open[caller] = None
+        if len(self.open) > CALLERS:
+            first = next(iter(self.open))
+            del self.open[first]
+            first.transport.abortConnection()
+        caller.deadline = self.clock.deadlines.add(
+            self.clock.now() + CALL_MS, lambda _: caller.transport.abortConnection()
+        )
+
+    def answer(self, line: bytes) -> bytes:
+        """The answer to one call, without its line's end."""
+        words = line.split()
+        name = words[0] if words else b""
+        if name == b"METRICS" and len(words) == 1:
+            return b"".join(b"svc.%b=%d\n" % (n.encode(), v) for n, v in self.node.figures()) + b"END"
+        if name in self._plain and len(words) == 1:
+            why = self._plain[name]()
+        elif name in self._named and len(words) == 2:
+            try:
+                why = self._named[name](words[1].decode())
+            except UnicodeDecodeError:
+                why = "the id cannot be read"
+        elif name in self._named:
+            why = f"{name.decode()} takes one id"
+        elif name in self._plain or name == b"METRICS":
+            why = f"{name.decode()} takes nothing"
+        else:
+            why = "calls are STATUS, METRICS, SUSPEND ID, RESTORE ID, PAUSE, RESUME"
+        return NO + b" " + why.encode() if why else YES
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import socket
 import time
 from collections.abc import Callable
 from typing import Any
@@ -13,12 +15,17 @@
 from hookpitch.net.clients import Clients
 from hookpitch.net.clock import Clock
 from hookpitch.net.discovery import Discovery
+from hookpitch.net.handover import Handover
+from hookpitch.net.management import CALLERS, Door
 from hookpitch.net.origin import OriginConnection
 from hookpitch.net.pulse import Pulse
 from hookpitch.net.start import Post
 
 BACKLOG = 4096
 OWN = 14  # descriptors: standard ones, the poller's, discovery's two, Twisted's reserve
+DOOR = 2 * CALLERS + 4  # the door's, the inherited socket's and the shared files'
+FIRST_LIST_MS = 1500.0  # a process with an inherited socket waits so long for its first list
+FOLLOW_MS = 200.0  # between two looks at what the node's other process was told
 SERVE_ON_MS = 500.0  # after being asked to leave, while clients still come
 REPLY_MS = 150.0  # past the longest deadline, for the last answers to be written
 
@@ -31,23 +38,151 @@
         self.host = Host(clock.now(), post.deployment, clock.deadlines, counters, logger)
         # Half of the descriptors for servers, the rest for clients; some for the log, discovery and the like,
         # and some for clients that are only told that there is no room.
+        own = OWN + (DOOR if post.management is not None else 0)
         third, guests = post.sockets // 3, max(4, post.sockets // 32)
-        servers = min(post.sockets // 2, post.sockets - third - guests - OWN)
+        servers = min(post.sockets // 2, post.sockets - third - guests - own)
         self.pools = Pools(reactor, clock, self.host, servers, OriginConnection)
-        room = post.sockets - servers - guests - OWN
+        room = post.sockets - servers - guests - own
         self.clients = Clients(self.host, clock, third, post.memory_mb << 19, room, guests)
         self.pulse = Pulse(clock, self.host, cpu)
         self.discovery = Discovery(reactor, clock, self.host, post.discovery, post.seq)
         self.host.carrier, self.host.watcher = self.pools, self.discovery
-        self.leaving = False
+        self.leaving = self.paused = self.up = False
+        self.pauses = 0  # so far; a drain's later steps are its own
         self.port: Any = None
+        self.entry: Any = None
+        self.door = Door(clock, self, counters.add)
+        self.shared: Handover | None = None
 
     def start(self) -> None:
+        """Raises CannotListenError; then it may be called again."""
         address, port = self.post.listen
-        self.port = self.reactor.listenTCP(port, self.clients, backlog=BACKLOG, interface=address)
+        if self.post.management is not None and self.entry is None:
+            # Danger: an operator's call that waits behind hundreds of clients.
+            listen = getattr(self.reactor, "listenFirst", self.reactor.listenTCP)
+            self.entry = listen(self.post.management[1], self.door, CALLERS, self.post.management[0])
+        if self.post.inherited is None:
+            self.port = self.reactor.listenTCP(port, self.clients, backlog=BACKLOG, interface=address)
         self.host.listed(self.clock.now(), ListKind.CACHED, list(self.post.known), self.post.dials)
+        if self.post.management is not None and self.post.shared:
+            self._share()
+        if self.post.inherited is None:
+            self._serve()
+            return
+        # Danger: the list that is known may be old, and clients come at once. But a discovery that is down
+        # must not keep the node from serving what it knows.
+        self.discovery.first = self._serve
+        self.discovery.watch(self.clock.now())
+        self.clock.deadlines.add(self.clock.now() + FIRST_LIST_MS, lambda _: self._serve())
+
+    def _serve(self) -> None:
+        """Clients are taken from now on."""
+        self.discovery.first = None
+        if self.up or self.leaving:
+            return
+        self.up = True
+        if self.post.inherited is not None:
+            # Danger: the socket is shared with other processes. It is adopted as it is, and only closed here.
+            os.set_blocking(self.post.inherited, False)
+            family = socket.AF_INET6 if ":" in self.post.listen[0] else socket.AF_INET
+            self.port = self.reactor.adoptStreamPort(self.post.inherited, family, self.clients)
+        address, port = self.post.listen
         self.logger.info("serving", listen=f"{address}:{port}", servers=len(self.post.known))
 
+    # ---- operators
+
+    def ready(self) -> str:
+        if self.leaving or self.paused:
+            return "leaving" if self.leaving else "draining"
+        return "" if self.up else "starting"
+
+    def figures(self) -> list[tuple[str, int]]:
+        counts = self.host.counters.counts
+        by_method = [(f"{name}.{m.name}", counts.get(f"{name}.{m.name}", 0))
+                     for name in ("completed", "rejected", "failed")
+                     for m in self.post.deployment.methods]  # fmt: skip
+        members, out = self.host.node.members()
+        more = [("upstream_requests", counts.get("upstream_requests", 0)), ("pending", self.host.open),
+                ("members", members), ("members_unavailable", out),
+                ("config_reloads", counts.get("config_reloads", 0)),
+                ("config_reload_errors", counts.get("config_reload_errors", 0))]  # fmt: skip
+        return by_method + more
+
+    def suspend(self, id: str) -> str:
+        if not self.host.node.bannable(id):
+            return "no such cache server"
+        self._do("SUSPEND", id)
+        return ""
+
+    def restore(self, id: str) -> str:
+        if not self.host.node.bannable(id):
+            return "no such cache server"
+        self._do("RESTORE", id)
+        return ""
+
+    def pause(self) -> str:
+        if self.leaving:
+            return "leaving"
+        self._do("PAUSE", "")
+        return ""
+
+    def resume(self) -> str:
+        if self.leaving:
+            return "leaving"
+        self._do("RESUME", "")
+        return ""
+
+    def _do(self, verb: str, what: str) -> None:
+        """A call, here and in the node's other process, in the order of the file that they share."""
+        if self.shared is None or not self.shared.tell(verb, what):
+            self._carry_out(verb, what)
+        else:
+            self._catch_up()
+
+    def _carry_out(self, verb: str, what: str) -> None:
+        if verb in ("SUSPEND", "RESTORE"):
+            banned = verb == "SUSPEND"
+            if banned == (what in self.host.node.bans):
+                return
+            self.logger.info("by hand", call=verb, what=what)
+            self.host.ban(self.clock.now(), what, banned)
+            return
+        if self.paused == (verb == "PAUSE") or verb == "START":
+            return
+        self.logger.info("by hand", call=verb, what=what)
+        self.paused = self.clients.paused = not self.paused
+        self.pauses += 1
+        if self.paused:
+            number = self.pauses
+            at = self.clock.now() + SERVE_ON_MS
+            self.clock.deadlines.add(at, lambda _: number == self.pauses and self.clients.drain())
+        elif not self.leaving:
+            self.clients.draining = False
+
+    def _share(self) -> None:
+        try:
+            self.shared = Handover(self.post.shared, self.post.name, self.logger.info)
+        except OSError as fault:
+            # Danger: without the file a ban does not outlast this process. That is told, and the node serves.
+            self.logger.info(f"nothing is shared with another process of this node: {fault}")
+            return
+        if not self.shared.others:
+            # A drain is a process's: one that starts alone begins without it. Bans last.
+            self.shared.tell("RESUME")
+        self._follow(self.clock.now())
+
+    def _catch_up(self) -> None:
+        for verb, what in self.shared.news() if self.shared is not None else ():
+            self._carry_out(verb, what)
+
+    def _follow(self, now: float) -> None:
+        if self.shared is None:
+            return
+        self._catch_up()
+        calls = [("SUSPEND", id) for id in self.host.node.bans] + ([("PAUSE", "")] if self.paused else [])
+        self.shared.shorten(calls)
+        self.clock.deadlines.add(now + FOLLOW_MS, self._follow)
+
     def reload(self, discovery: Callable[[], tuple[str, int]]) -> None:
         """The file of the configuration was replaced: of what it holds, discovery's address may change."""
         try:
@@ -55,7 +190,9 @@
         except ValueError as fault:
             # Danger: a file half written, or with a slip in it, must not stop a node that serves.
             self.logger.info("not reloaded", why=str(fault))
+            self.host.counters.add("config_reload_errors")
             return
+        self.host.counters.add("config_reloads")
         self.logger.info("reloaded", discovery=f"{address[0]}:{address[1]}")
         self.discovery.move(address)
 
@@ -66,19 +203,26 @@
         self.leaving = True
         self.logger.info("leaving")
         longest = max((m.hard_ms for m in self.post.deployment.methods), default=0.0)
-        until, deadlines = self.clock.now() + SERVE_ON_MS, self.clock.deadlines
+        # An inherited socket is heard by another process, or kept until there is one: nothing is refused.
+        serve_on = SERVE_ON_MS if self.post.inherited is None else 0.0
+        until, deadlines = self.clock.now() + serve_on, self.clock.deadlines
         deadlines.add(until, lambda _: self._close())
         deadlines.add(until + longest + REPLY_MS, lambda _: self._end())
 
     def _close(self) -> None:
-        # Danger: the kernel has taken connections that a busy loop has not; they would be reset.
-        sessions = -1
-        while sessions != getattr(self.port, "sessionno", -1):
-            sessions = self.port.sessionno
-            self.port.doRead()
-        self.port.stopListening()
+        if self.post.inherited is None:
+            # Danger: the kernel has taken connections that a busy loop has not; they would be reset.
+            sessions = -1
+            while sessions != getattr(self.port, "sessionno", -1):
+                sessions = self.port.sessionno
+                self.port.doRead()
+        if self.port is not None:
+            self.port.stopListening()
         self.clients.leave(self._end)
 
     def _end(self) -> None:
+        if self.shared is not None:
+            self.shared.close()
+            self.shared = None
         if self.reactor.running:
             self.reactor.stop()
--- a/hookpitch/net/start.py
+++ b/hookpitch/net/start.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import os
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Any
@@ -28,6 +30,9 @@
     seq: int
     known: tuple[Entry, ...]
     dials: Mapping[str, str]
+    management: tuple[str, int] | None = None  # the operators' door; None where neither place names one
+    inherited: int | None = None  # the descriptor of the clients' listening socket, if inherited
+    shared: str = ""  # a folder that this node's processes share
 
 
 def post(environment: Mapping[str, str]) -> Post:
@@ -62,6 +67,9 @@
         seq=seq,
         known=tuple(entries),
         dials=dials,
+        management=_door(environment.get("PROXY_MANAGEMENT") or top.get("management")),
+        inherited=_inherited(environment.get("PROXY_INHERITED_FD"), _address(told("listen"), "listen")),
+        shared=environment.get("TMPDIR", ""),
     )
 
 
@@ -91,6 +99,34 @@
     return 0 < len(text) <= 64 and all(c in "0123456789abcdefABCDEF" for c in text)
 
 
+def _door(value: Any) -> tuple[str, int] | None:  # noqa: ANN401
+    if value is None or value == "":
+        return None
+    if not isinstance(value, str):
+        raise ValueError("management is no address with a port")
+    return _address(value, "management")
+
+
+def _inherited(text: str | None, listen: tuple[str, int]) -> int | None:
+    """A descriptor that holds the clients' listening socket, checked and left as it is."""
+    if not text:
+        return None
+    if not text.isdigit() or len(text) > 9:
+        raise ValueError(f"inherited_fd '{text}' is no descriptor's number")
+    number = int(text)
+    try:
+        with socket.socket(fileno=os.dup(number)) as held:  # closing the duplicate leaves the socket as it is
+            listens = held.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+            tcp, address = held.type == socket.SOCK_STREAM, held.getsockname()
+    except (OSError, ValueError) as fault:
+        raise ValueError(f"inherited_fd {number} is no open socket: {fault}") from None
+    if not listens or not tcp:
+        raise ValueError(f"inherited_fd {number} is no listening socket")
+    if not isinstance(address, tuple) or address[:2] != listen:
+        raise ValueError(f"inherited_fd {number} listens at {address}, not at {listen[0]}:{listen[1]}")
+    return number
+
+
 def _whole(value: Any, name: str, least: int) -> int:  # noqa: ANN401
     if not isinstance(value, int | float) or not least <= value < float("inf"):
         raise ValueError(f"{name} is no number from {least} up")
--- a/hookpitch/net/turns.py
+++ b/hookpitch/net/turns.py
@@ -20,7 +20,21 @@
 LATER = (Server, Port)  # clients and their door
 
 
+class Caller(Server):
+    """An operator's connection: not among those that wait for others in a turn."""
+
+
+class Door(Port):
+    transport = Caller
+
+
 class Turns(EPollReactor):
+    def listenFirst(self, port: int, factory: Any, backlog: int, interface: str) -> Port:  # noqa: ANN401, N802
+        """As `listenTCP`, for connections that go before clients in each turn."""
+        door = Door(port, factory, backlog, interface, self)
+        door.startListening()
+        return door
+
     def doPoll(self, timeout: float | None) -> None:  # noqa: N802
         """One turn. Danger: hundreds of ready clients in one turn hold up every deadline and every answer."""
         try:
@@ -32,7 +46,7 @@
         selectables, later = self._selectables, []
         for fd, event in found:
             selectable = selectables.get(fd)
-            if isinstance(selectable, LATER):
+            if type(selectable) in LATER:
                 later.append((fd, event))
             elif selectable is not None:
                 self._act(selectable, fd, event)
