--- a/hookpitch/net/handover.py
+++ b/hookpitch/net/handover.py
@@ -47,8 +47,9 @@
     Raises OSError from the constructor alone, where the folder cannot be used.
     """
 
-    def __init__(self, folder: str, name: str, log: Callable[[str], None]) -> None:
-        self._log, self._me = log, str(os.getpid())
+    def __init__(self, folder: str, name: str, log: Callable[[str], None], me: str = "") -> None:
+        """`me`: what tells this process from the others; its number, where nothing is said."""
+        self._log, self._me = log, me or str(os.getpid())
         self._stem = Path(folder) / f"hookpitch-{quote(name, safe='')}"
         self._file = _open(f"{self._stem}.calls", os.O_RDWR | os.O_CREAT | os.O_APPEND)
         self._at, self._told = 0, False
