Values up to 4 MiB pass in pieces; large writes are held once and bounded

Cause: any answer over 64 KiB counted as spoilt ('a number out of bounds' in the node's log, the same keys again and again).

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -69,7 +69,7 @@
 class Tx:
     def __init__(self, rpc: Rpc, server: Server, n: int, sent: float) -> None:
         self.rpc, self.server, self.n, self.sent = rpc, server, n, sent
-        self.done = self.counted = self.spoilt = False  # spoilt: its answer could not be read
+        self.done = self.counted = self.begun = self.spoilt = False  # spoilt: its answer could not be read
         self.ran = True  # it may have, until proven otherwise
 
 
@@ -276,7 +276,7 @@
         # Danger: hundreds of nodes, none of which ever fills a server, crowd it with what is over shares.
         answered = outcome <= Outcome.MISS or outcome == Outcome.TIMEOUT
         away = tx.sent < self.away_at  # Danger: the node's own pause taken for its servers' fault
-        late = now - self.lag >= rpc.aim and not away
+        late = now - self.lag >= rpc.aim and not away and not tx.begun
         self.turned += late and answered and s is not self.origin and not rpc.over
         if report:
             held = report.get("utilisation", report.get("inflight", report.get("queue", -2.0) + 1))
@@ -313,7 +313,7 @@
         self.now = now
         rpc = self.rpcs.get(id)
         if rpc is not None and 0 <= n < len(rpc.txs) and not rpc.txs[n].done:
-            rpc.txs[n].counted = True
+            rpc.txs[n].counted = rpc.txs[n].begun = True
             self._answered(rpc.txs[n], now - rpc.txs[n].sent, False)
 
     def client_left(self, now: float, id: str) -> None:
--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -15,6 +15,7 @@
 from hookpitch.core.deadlines import Deadline, Deadlines
 from hookpitch.core.resp import bulk
 from hookpitch.core.slots import Slots
+from hookpitch.core.stream import Held, Pieces, Source, Stream
 
 # Danger: a cache closes the whole connection on what it cannot read, whatever else waits there.
 KEY = re.compile(rb"[^\x00-\x1f\x7f]{1,1024}")
@@ -26,6 +27,7 @@
 NO_REPORT: Report = {}
 EXTRAS_KEPT = 512  # of what clients said beside their keys, with how it was read
 EXTRAS_MOST = 512  # bytes
+HELD_MOST = 1 << 24  # bytes of large writes, where nothing else is said
 ODD_LOGGED = 3  # lines for each kind of odd input
 FINAL = {"completed": "completed", "exhausted": "rejected", "errored": "failed"}  # in operators' words
 TX_NAMES = [f"tx.{outcome.name.lower()}" for outcome in Outcome]
@@ -57,6 +59,9 @@
     """A client's connection; the place is what it gave with the RPC."""
 
     def answered(self, place: list[bytes | None], answer: bytes) -> None: ...
+    def begun(self, place: list[bytes | None], stream: Stream) -> None: ...
+    def piece(self, place: list[bytes | None], data: bytes) -> None: ...
+    def broken(self, place: list[bytes | None]) -> None: ...  # what was begun cannot be finished
 
 
 class Tx:
@@ -80,13 +85,14 @@
     """An RPC from the time it is taken until it is answered and no transmission is out."""
 
     __slots__ = ("number", "client", "place", "command", "key", "id", "extras", "value", "hard", "deadline",
-                 "txs", "live", "open", "parting", "method")  # fmt: skip
+                 "txs", "live", "open", "parting", "method", "stream")  # fmt: skip
 
     def __init__(self, client: Client, place: list[bytes | None], words: Sequence[bytes],
                  method: str) -> None:  # fmt: skip
         self.client, self.place, self.method = client, place, method
         self.command, self.key, self.id, self.extras = words[:4]
-        self.value = words[4] if len(words) > 4 else None
+        self.value: bytes | Pieces | None = words[4] if len(words) > 4 else None
+        self.stream: Stream | None = None  # its answer, once it has begun to pass in pieces
         self.number, self.live, self.hard = -1, 0, 0.0
         self.open, self.parting = True, False  # parting: the client sends no more, maybe has gone
         self.deadline: Deadline | None = None
@@ -106,6 +112,8 @@
         self.rpcs: Slots[Rpc] = Slots()
         self.ids: set[bytes] = set()  # of all RPCs in slots
         self.open = 0  # RPCs taken and not ended
+        self.held = Held(HELD_MOST)
+        self.patience = max((m.hard_ms for m in deployment.methods), default=1000.0)  # with a silent stream
         self.connections: Slots[object] = Slots()
         self.carrier: Carrier
         self.watcher: Watcher
@@ -162,6 +170,14 @@
             rpc.deadline = self.deadlines.add(at, lambda now: self._due(now, rpc))
 
     def _due(self, now: float, rpc: Rpc) -> None:
+        if rpc.stream is not None and rpc.open:
+            if now - rpc.stream.moved < self.patience:
+                return self._watch(rpc, rpc.stream.moved + self.patience)
+            tx = next(tx for tx in rpc.txs if not tx.done)
+            # Danger: a server or a reader that has gone without a word holds both connections for good.
+            self.counters.add("streams.silent")
+            self.carrier.call_off(now, tx)
+            return self.tx_over(now, tx, Outcome.TIMEOUT)
         for tx in rpc.txs:
             if not tx.done and tx.until <= now:
                 self._waited_out(now, tx)
@@ -180,16 +196,54 @@
         tx.done, rpc = True, tx.rpc
         rpc.live -= 1
         self.counters.add(TX_NAMES[outcome])
-        if outcome == Outcome.COMPLETED and rpc.open:
+        if rpc.stream is not None:
+            if rpc.open:
+                self._streamed(rpc, outcome)
+        elif outcome == Outcome.COMPLETED and rpc.open:
             self._answer(rpc, bulk(value), "completed")
         elif rpc.parting and rpc.open:
             self._answer(rpc, b"-ERR failed\r\n", "errored")
         # Danger: the time for which an answer stood unread here taken for its server's.
-        took = max(0.0, now - tx.sent - age)
+        took = rpc.stream.took if rpc.stream is not None else max(0.0, now - tx.sent - age)
         self.node.tx_ended(now, str(rpc.number), tx.n, outcome, not rpc.open, took, report)
         self._free(rpc)
         self.decide(now)
 
+    def begun(self, now: float, tx: Tx, length: int, source: Source) -> bool:
+        """The first bytes of an answer that passes in pieces; False where its RPC is over."""
+        rpc = tx.rpc
+        if tx.done or not rpc.open:
+            return False
+        self.counters.add("streams")
+        rpc.stream = Stream(source, length, max(0.0, now - tx.sent), now)
+        self.node.stream_begun(now, str(rpc.number), tx.n)
+        # Danger: its deadline was for the first bytes; what the server still gives is passed on to the end.
+        self.deadlines.drop(rpc.deadline)
+        self._watch(rpc, now + self.patience)
+        rpc.client.begun(rpc.place, rpc.stream)
+        return True
+
+    def piece(self, now: float, tx: Tx, data: bytes) -> None:
+        """More of it."""
+        rpc = tx.rpc
+        if rpc.stream is not None and rpc.open:
+            rpc.stream.moved = now
+            data = rpc.stream.piece(data)
+            if data:
+                rpc.client.piece(rpc.place, data)
+
+    def _streamed(self, rpc: Rpc, outcome: Outcome) -> None:
+        whole = outcome == Outcome.COMPLETED and rpc.stream is not None and not rpc.stream.left
+        self.counters.must(whole or outcome != Outcome.COMPLETED, "a value passed whole")
+        how = "completed" if whole else "errored"
+        self.counters.add(f"rpcs.{how}")
+        self.counters.add(f"{FINAL[how]}.{rpc.method}")
+        self._end(rpc)
+        if whole:
+            rpc.client.answered(rpc.place, rpc.stream.held + b"\r\n")
+        else:
+            rpc.client.broken(rpc.place)
+
     def client_left(self, now: float, rpcs: Sequence[Rpc], reads: bool) -> None:
         """A client has gone or (reads) has ended its sending: then it has gone, too, or still reads."""
         # Danger: all of its RPCs are told of before anything is decided. Room that the first one leaves would
@@ -213,7 +267,8 @@
         elif not any(tx.written and not tx.done for tx in rpc.txs):
             self._answer(rpc, b"-ERR failed\r\n", "errored")
         self.node.client_left(now, str(rpc.number))
-        for tx in rpc.txs if not rpc.open and self.deployment.cancelling else ():
+        stop = self.deployment.cancelling or rpc.stream is not None
+        for tx in rpc.txs if not rpc.open and stop else ():
             if not tx.done:
                 self.carrier.call_off(now, tx)
                 self.tx_over(now, tx, Outcome.CANCELLED)
@@ -269,7 +324,7 @@
     def cancel(self, rpc_id: str, tx: int) -> None:
         rpc = self.rpcs.get(int(rpc_id))
         if rpc is not None and tx < len(rpc.txs) and not rpc.txs[tx].done:
-            if rpc.parting and rpc.open:
+            if rpc.open and (rpc.parting or rpc.stream is not None):
                 return
             self.carrier.call_off(self.now, rpc.txs[tx])
             self.tx_over(self.now, rpc.txs[tx], Outcome.CANCELLED)
@@ -370,6 +425,9 @@
         if not rpc.open and not rpc.live:
             self.deadlines.drop(rpc.deadline)
             self.rpcs.free(rpc.number)
+            if isinstance(rpc.value, Pieces):
+                self.held.give_back(len(rpc.value))
+                rpc.value = b""
             self.ids.discard(rpc.id)
 
 
--- a/hookpitch/core/resp.py
+++ b/hookpitch/core/resp.py
@@ -27,12 +27,17 @@
 
 
 class Parser:
-    """Takes whole values off a ring. `commands_only`: arrays of bulk strings, as clients send them."""
+    """Takes whole values off a ring. `commands_only`: arrays of bulk strings, as clients send them.
 
-    __slots__ = ("ring", "commands_only", "_arrays", "_bulk", "_seen")
+    The value in a command or an answer may have up to `most` bytes. One over `VALUE_MOST` is not taken whole:
+    `passing` tells how many bytes of it are still to come, the caller takes them (off the ring with `part`,
+    or past it) and counts them off, and an empty string stands in the value's place.
+    """
 
-    def __init__(self, ring: Ring, commands_only: bool = False) -> None:
-        self.ring, self.commands_only = ring, commands_only
+    __slots__ = ("ring", "commands_only", "passing", "_most", "_arrays", "_bulk", "_seen")
+
+    def __init__(self, ring: Ring, commands_only: bool = False, most: int = 0) -> None:
+        self.ring, self.commands_only, self._most, self.passing = ring, commands_only, most, 0
         self._arrays: list[tuple[list[Value], int]] = []  # open ones, outermost first, with their lengths
         self._bulk, self._seen = -1, 0  # the bulk string's length; where the line's end is sought
 
@@ -43,7 +48,7 @@
 
     def next(self) -> tuple[bool, Value]:
         """(True, a value), or (False, None) until more has come."""
-        if not len(self.ring):
+        if self.passing or not len(self.ring):
             return False, None
         if self._bulk < 0 and not self._arrays and not self._seen and (words := self._quick()) is not None:
             return True, words
@@ -67,6 +72,12 @@
             else:
                 return True, value
 
+    def part(self, most: int) -> bytes:
+        """Bytes of the value that passes, off the ring, counted off."""
+        data = self.ring.read(min(self.passing, most))
+        self.passing -= len(data)
+        return data
+
     def _quick(self) -> list[Value] | None:
         """A short array of bulk strings that has come whole; of all else None, and nothing is taken."""
         data = self.ring.peek(QUICK)
@@ -123,11 +134,16 @@
         if self.commands_only and kind != (b"$" if self._arrays else b"*"):
             raise Malformed("an array of bulk strings was due")
         if kind == b"$":
-            length = _count(text, VALUE_MOST)
+            place = len(self._arrays[-1][0]) if len(self._arrays) == 1 else -1
+            most = self._most if place == (4 if self.commands_only else 0) else 0
+            length = _count(text, max(VALUE_MOST, most))
             if length < 0:
                 if self.commands_only:
                     raise Malformed("null in a command")
                 return True, None
+            if length > VALUE_MOST:
+                self.passing, self._bulk = length, 0
+                return False, None
             self._bulk = length
             return self._body()
         if kind == b"*":
--- a/hookpitch/net/caches.py
+++ b/hookpitch/net/caches.py
@@ -15,8 +15,9 @@
 from hookpitch.core.deadlines import Deadline
 from hookpitch.core.host import NO_REPORT, Host, Tx
 from hookpitch.core.resp import Fault, Malformed, Parser, Value, command
+from hookpitch.core.stream import MOST, Pieces
 from hookpitch.net.clock import Clock
-from hookpitch.net.wire import Wire
+from hookpitch.net.wire import CHUNK, Wire
 
 IDLE_SHARE = 0.9  # of the time after which a server closes an idle connection: it is not used again
 
@@ -24,8 +25,6 @@
 class Connection(Wire):
     """One connection to a server, with at most one transmission on it."""
 
-    counted = False  # among what operators are told of
-
     def __init__(self, pool: Pool) -> None:
         super().__init__()
         self.pool, self.number = pool, -1
@@ -40,17 +39,39 @@
 
     def begin(self, tx: Tx) -> None:
         self.tx, tx.carrier, tx.written = tx, self, True
-        self.put(self.request(tx))
+        head, *more = self.request(tx)
+        self.put(head)
+        if more:
+            self.put_behind(more)
         if not self._flowing:
             self.whole()
 
-    def request(self, tx: Tx) -> bytes:
+    def request(self, tx: Tx) -> Sequence[bytes]:
+        """What is written: a head, and large pieces behind it."""
         raise NotImplementedError
 
+    def hold(self) -> None:
+        if not self.paused and not self.lost:
+            self.pauseProducing()
+
+    def go(self) -> None:
+        if self.paused and not self.lost:
+            self.resumeProducing()
+
+    def begun(self, length: int) -> bool:
+        """A value begins that passes in pieces; False where nobody waits for it any more."""
+        pools, tx = self.pool.pools, self.tx
+        if tx is not None and pools.host.begun(pools.clock.now(), tx, length, self):
+            return True
+        if tx is None:
+            self.spoilt("nobody asked")
+        else:
+            self.over(Outcome.CANCELLED, reuse=False)
+        return False
+
     def whole(self) -> None:
         """The request stands whole in the kernel."""
-        if self.counted:
-            self.pool.pools.host.counters.add("upstream_requests")
+        self.pool.pools.host.counters.add("upstream_requests")
 
     def drained(self) -> None:
         if self.tx is not None:
@@ -61,7 +82,7 @@
         tx, self.tx = self.tx, None
         pools = self.pool.pools
         now = pools.clock.now()
-        if reuse:
+        if reuse and not self.waiting:
             self.pool.free(self)
         else:
             self.transport.abortConnection()
@@ -91,7 +112,7 @@
         if tx is not None:
             # Danger: taken for never sent, an RPC that ran would run twice. Only what stands in our own ring
             # was surely not written whole.
-            whole = not len(self.outward)
+            whole = not self.waiting
             if whole:
                 # Danger: a machine that was cut off resets all connections from before, RPC after RPC.
                 self.pool.shut_idle()
@@ -99,25 +120,51 @@
 
 
 class CacheConnection(Connection):
-    counted = True
-
     def __init__(self, pool: Pool) -> None:
         super().__init__(pool)
-        self.parser = Parser(self.inward)
+        self.parser = Parser(self.inward, most=MOST)
+        self.passing = False  # a value passes in pieces
 
-    def request(self, tx: Tx) -> bytes:
+    def request(self, tx: Tx) -> Sequence[bytes]:
         rpc = tx.rpc
         words = (rpc.command, rpc.key, rpc.id, tx.extras())
-        return command(*words) if rpc.value is None else command(*words, rpc.value)
+        if rpc.value is None:
+            return (command(*words),)
+        if isinstance(rpc.value, Pieces):
+            head = command(*words).replace(b"*4", b"*5", 1) + b"$%d\r\n" % len(rpc.value)
+            return (head, *rpc.value.parts, b"\r\n")
+        return (command(*words, rpc.value),)
+
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.passing and not len(self.inward) and not self.paused and self.tx is not None:
+            # A large value goes past the ring.
+            most = self.parser.passing
+            part = data if len(data) <= most else data[:most]
+            self.parser.passing -= len(part)
+            self.pool.pools.host.piece(self.pool.pools.clock.now(), self.tx, part)
+            data = data[len(part) :]
+            if not data:
+                return
+        super().rawDataReceived(data)
 
     def came(self) -> None:
-        try:
-            found, reply = self.parser.next()
-        except Malformed as fault:
-            return self.spoilt(str(fault))
-        if found:
-            # Danger: what comes behind an answer would answer the next RPC. The answer itself is good.
-            self._reply(reply, self.tx is not None and self.parser.between)
+        while not self.paused:
+            try:
+                found, reply = self.parser.next()
+            except Malformed as fault:
+                return self.spoilt(str(fault))
+            if found:
+                # Danger: what comes behind an answer would answer the next RPC. The answer itself is good.
+                self.passing = False
+                return self._reply(reply, self.tx is not None and self.parser.between)
+            if not self.parser.passing:
+                return
+            if not self.passing and not self.begun(self.parser.passing):
+                return
+            self.passing = True
+            if self.paused or not len(self.inward):
+                return
+            self.pool.pools.host.piece(self.pool.pools.clock.now(), self.tx, self.parser.part(CHUNK))
 
     def _reply(self, reply: Value, alone: bool) -> None:
         if isinstance(reply, list) and len(reply) == 3 and (reply[0] is None or type(reply[0]) is bytes):
--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -15,8 +15,9 @@
 
 from hookpitch.core.host import Host, Rpc
 from hookpitch.core.resp import Malformed, Parser, bulk
+from hookpitch.core.stream import MOST, ROOM, Pieces, Stream
 from hookpitch.net.clock import Clock
-from hookpitch.net.wire import Wire
+from hookpitch.net.wire import CHUNK, Wire
 
 WORDS = {b"OBJ.GET": 4, b"OBJ.SET": 5}
 # Danger: what stands unread in the kernel is taken all the same, and its time runs. Read late, it would be
@@ -29,6 +30,9 @@
 SWEEP_MS = 250.0
 BATCH = 32  # commands taken at a time, before others have their turn
 GUEST_MS = 100.0  # a connection beyond the room is kept for so long, for its first command to be answered
+PROGRESS = 4096  # bytes of a large value, which show that its client is not silent
+LAST_MS = 5000.0  # for the last answers of a connection that ends to be read
+REFUSED = Pieces()  # stands for a large value that is not held
 LOOKED_AT = 16  # connections that are weighed when one has to give way
 
 
@@ -37,7 +41,10 @@
     def __init__(self, clients: Clients) -> None:
         super().__init__()
         self.clients, self.host = clients, clients.host
-        self.parser = Parser(self.inward, commands_only=True)
+        self.parser = Parser(self.inward, commands_only=True, most=MOST)
+        self.value: Pieces | None = None  # a large one, as it comes
+        self.streams: dict[int, Stream] = {}  # answers that have begun, by their place's id
+        self.head: Stream | None = None  # the one that passes now
         self.due: deque[list[bytes | None]] = deque()  # a place for each command, in order
         self.rpcs: dict[int, Rpc] = {}  # open ones, by their place's id
         self.number = -1
@@ -56,8 +63,35 @@
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.asked and self.parser.between:
             self.since = self.clients.clock.now()
+        if self.parser.passing and not len(self.inward) and not self.ending:
+            most = self.parser.passing
+            part = data if len(data) <= most else data[:most]  # past the ring
+            self.parser.passing -= len(part)
+            self._piece(part)
+            data = data[len(part) :]
+            if not data:
+                return
         super().rawDataReceived(data)
 
+    def _piece(self, data: bytes) -> None:
+        """More of a large value that the client sends."""
+        if self.value is None:
+            size = self.parser.passing + len(data)
+            self.value = Pieces() if self.host.held.take(size) else REFUSED
+            self.since = self.clients.clock.now()
+        if self.value is not REFUSED:
+            before = self.value.length // PROGRESS
+            self.value.add(data)
+            if self.value.length // PROGRESS > before:
+                # Danger: a large value that comes slowly taken for a client that says nothing.
+                self.since = self.clients.clock.now()
+
+    def _let_go(self) -> None:
+        """Of a large value that came in part."""
+        if self.value is not None and self.value is not REFUSED:
+            self.host.held.give_back(self.value.length + self.parser.passing)
+        self.value = None
+
     def came(self) -> None:
         if self._taking or self.lost:
             return
@@ -79,6 +113,9 @@
             if self.ending or self.paused:
                 return
             found, words = self.parser.next()
+            if not found and self.parser.passing and len(self.inward):
+                self._piece(self.parser.part(CHUNK))
+                continue
             if not found:
                 return
             if words:
@@ -103,9 +140,17 @@
                 self.host.refused(words)
                 place[0] = b"-BUSY\r\n"
                 self.ending = True
+            elif self.value is REFUSED:
+                self.host.counters.add("rpcs.no_memory")
+                self.host.refused(words)
+                place[0] = b"-BUSY\r\n"
             elif len(words) == WORDS[name]:
                 words[0] = name
+                if self.value is not None:
+                    words[4] = self.value
                 rpc = self.host.taken(self.clients.clock.now(), self, place, words, age)
+                if rpc is not None:
+                    self.value = None  # the RPC's, from now on
             if place[0] is not None:
                 pass
             elif rpc is None:
@@ -128,10 +173,56 @@
         else:
             self.host.counters.add("clients.wrong")
             self._say(b"-ERR unknown command\r\n")
+        self._let_go()
 
     def answered(self, place: list[bytes | None], answer: bytes) -> None:
         place[0] = answer
         self.rpcs.pop(id(place), None)
+        if self.streams.pop(id(place), None) is not None:
+            self.clients.streams -= 1
+            self.head = None  # the end of what has passed
+        if not self.lost:
+            self._flush()
+
+    # ---- answers that pass in pieces
+
+    def begun(self, place: list[bytes | None], stream: Stream) -> None:
+        self.streams[id(place)] = stream
+        self.clients.streams += 1
+        if self.lost or self.due[0] is not place:
+            stream.source.hold()  # those before it go first
+        else:
+            self._begin(stream)
+
+    def _begin(self, stream: Stream) -> None:
+        self.head = stream
+        self.put(b"$%d\r\n" % stream.length)
+        stream.source.go()
+
+    def piece(self, place: list[bytes | None], data: bytes) -> None:
+        self.put(data)
+        # Danger: a server that gives faster than the client reads; the value would be held here.
+        if len(self.outward) > self.clients.stream_room and self.head is not None:
+            self.head.source.hold()
+
+    def flow(self) -> None:
+        super().flow()
+        if self.head is not None:
+            self.head.moved = self.clients.clock.now()
+            if 2 * len(self.outward) <= self.clients.stream_room:
+                self.head.source.go()
+
+    def broken(self, place: list[bytes | None]) -> None:
+        self.rpcs.pop(id(place), None)
+        stream = self.streams.pop(id(place), None)
+        if stream is not None:
+            self.clients.streams -= 1
+        if self.head is not stream:
+            place[0] = b"-ERR failed\r\n"  # nothing of it has passed
+        else:
+            # Danger: a client that cannot tell would take what comes next for the rest of the value.
+            self.head, self.ending = None, True
+            self.due.clear()
         if not self.lost:
             self._flush()
 
@@ -139,6 +230,8 @@
         while self.due and self.due[0][0] is not None:
             self.put(self.due.popleft()[0])
             self.clients.touch(self)
+        if self.due and self.head is None and (stream := self.streams.get(id(self.due[0]))) is not None:
+            self._begin(stream)
         if len(self.outward) > UNREAD_MOST:
             if not self.paused and not self.ending:
                 self.pauseProducing()
@@ -195,9 +288,13 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         self.lost = True
+        self._let_go()
         self.host.connections.free(self.number)
         self.clients.open.pop(self, None)
         self.due.clear()
+        self.head = None
+        self.clients.streams -= len(self.streams)
+        self.streams.clear()
         self.host.client_left(self.clients.clock.now(), list(self.rpcs.values()), reads=False)
         self.rpcs.clear()
         self.clients.left()
@@ -211,7 +308,7 @@
         `memory`: bytes that unread answers may hold."""
         self.host, self.clock, self.most, self.memory, self.room = host, clock, most, memory, room
         self.open: dict[Client, None] = {}  # the one that was answered last stands last
-        self.guests = guests
+        self.guests, self.streams = guests, 0  # streams: answers that pass in pieces now
         clock.deadlines.add(clock.now() + SWEEP_MS, self.sweep)
         self.leaving: Callable[[], None] | None = None
         self.draining = self.paused = False  # draining: what is idle is closed; paused: `PING` says no
@@ -223,6 +320,12 @@
         gauges = f"clients.open:{len(self.open)}\r\nrpcs.open:{len(self.host.rpcs)}\r\n"
         return (gauges + self.host.counters.lines()).encode()
 
+    @property
+    def stream_room(self) -> int:
+        """Bytes that a stream may have waiting for its reader: less with more of them."""
+        most, least = ROOM
+        return max(least, min(most, self.memory // (4 * max(1, self.streams))))
+
     def make_room(self, newcomer: Client) -> None:
         """Danger: clients that keep connections and use none shut all others out."""
         if len(self.open) <= self.most:
@@ -267,6 +370,8 @@
         for client in list(self.open):
             if client.since > now - kept:
                 break
+            if client.ending and client.since < now - LAST_MS:
+                client.transport.abortConnection()  # Danger: its end waits for a peer that does not read
             if client.due or len(client.outward) or client.ending or client.paused:
                 continue
             if self.draining and client.idle and not client.unread():
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -44,6 +44,7 @@
         self.pools = Pools(reactor, clock, self.host, servers, OriginConnection)
         room = post.sockets - servers - guests - own
         self.clients = Clients(self.host, clock, third, post.memory_mb << 19, room, guests)
+        self.host.held.most = post.memory_mb << 18  # a quarter of the memory
         self.pulse = Pulse(clock, self.host, cpu)
         self.discovery = Discovery(reactor, clock, self.host, post.discovery, post.seq)
         self.host.carrier, self.host.watcher = self.pools, self.discovery
--- a/hookpitch/net/origin.py
+++ b/hookpitch/net/origin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from contextlib import suppress
 from urllib.parse import quote
 
@@ -13,6 +14,7 @@
 from hookpitch.balancer.interface import Outcome
 from hookpitch.core.host import Tx
 from hookpitch.core.resp import VALUE_MOST
+from hookpitch.core.stream import MOST, Pieces
 from hookpitch.net.caches import Connection, Pool
 
 
@@ -20,9 +22,10 @@
     def __init__(self, pool: Pool) -> None:
         super().__init__(pool)
         self.http = h11.Connection(h11.CLIENT)
-        self.status, self.headers, self.body = 0, dict[bytes, bytes](), b""
+        self.status, self.headers, self.body = 0, dict[bytes, bytes](), bytearray()
+        self.passing = False  # the body passes in pieces
 
-    def request(self, tx: Tx) -> bytes:
+    def request(self, tx: Tx) -> Sequence[bytes]:
         rpc, write = tx.rpc, tx.rpc.value is not None
         host, port = self.pool.address
         headers = [("Host", f"{host}:{port}"), ("X-Request-Id", rpc.id), ("X-Extras", rpc.extras)]
@@ -31,17 +34,20 @@
         request = h11.Request(method="PUT" if write else "GET", target="/" + quote(rpc.key, safe=""),
                               headers=headers)  # fmt: skip
         parts = [self.http.send(request)]
-        if write:
-            parts.append(self.http.send(h11.Data(data=rpc.value)))
+        large = rpc.value.parts if isinstance(rpc.value, Pieces) else ()
+        for part in large or ((rpc.value,) if write else ()):
+            parts.append(self.http.send(h11.Data(data=part)))
         parts.append(self.http.send(h11.EndOfMessage()))
-        self.status, self.headers, self.body = 0, {}, b""
-        return b"".join(part for part in parts if part)
+        self.status, self.headers, self.body, self.passing = 0, {}, bytearray(), False
+        return [part for part in parts if part] if large else (b"".join(part for part in parts if part),)
 
     def came(self) -> None:
         if self.tx is None:
             return self.spoilt("nobody asked")
-        self.http.receive_data(self.inward.read(len(self.inward)))
-        self._read()
+        if not self.paused:
+            if len(self.inward):
+                self.http.receive_data(self.inward.read(len(self.inward)))
+            self._read()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         if self.tx is not None and self.status and reason.check(ConnectionDone):
@@ -49,19 +55,21 @@
                 self.http.receive_data(b"")
                 while not isinstance(event := self.http.next_event(), h11.EndOfMessage):
                     if isinstance(event, h11.Data):
-                        self.body += bytes(event.data)
+                        self._data(bytes(event.data))
                 self._whole()
         super().connectionLost(reason)
 
     def _read(self) -> None:
         try:
-            while True:
+            while not self.paused:
                 event = self.http.next_event()
                 if isinstance(event, h11.Response):
                     self.status, self.headers = event.status_code, dict(event.headers)
+                    if not self._begin():
+                        return
                 elif isinstance(event, h11.Data):
-                    self.body += bytes(event.data)
-                    if len(self.body) > VALUE_MOST:
+                    self._data(bytes(event.data))
+                    if len(self.body) > MOST:
                         return self.spoilt("a body too long")
                 elif isinstance(event, h11.EndOfMessage):
                     return self._whole()
@@ -70,6 +78,22 @@
         except h11.RemoteProtocolError as fault:
             self.spoilt(str(fault))
 
+    def _begin(self) -> bool:
+        length = self.headers.get(b"content-length", b"")
+        size = int(length) if self.status == 200 and length.isdigit() and len(length) < 20 else 0
+        if size > MOST:
+            self.spoilt("a body too long")
+        elif size > VALUE_MOST:
+            self.passing = self.begun(size)
+            return self.passing
+        return size <= MOST
+
+    def _data(self, data: bytes) -> None:
+        if self.passing and self.tx is not None:
+            self.pool.pools.host.piece(self.pool.pools.clock.now(), self.tx, data)
+        else:
+            self.body += data
+
     def _whole(self) -> None:
         never = self.headers.get(b"x-not-run") == b"1"
         if self.status == 200:
@@ -80,5 +104,5 @@
         reuse = reuse and not self.http.trailing_data[0]  # what comes behind would answer the next RPC
         if reuse:
             self.http.start_next_cycle()
-        value = self.body if outcome == Outcome.COMPLETED else None
+        value = bytes(self.body) if outcome == Outcome.COMPLETED else None
         self.over(outcome, value, self.headers.get(b"x-load", b"").decode("latin-1"), reuse)
--- a/hookpitch/net/wire.py
+++ b/hookpitch/net/wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+from collections.abc import Iterable
 from socket import IPPROTO_TCP, MSG_PEEK, TCP_INFO
 from struct import unpack_from
 from typing import Any
@@ -36,6 +38,7 @@
     def __init__(self) -> None:
         self.inward, self.outward = Ring(), Ring()
         self._flowing = False
+        self._behind = deque[bytes]()  # large pieces that are written from where they are, after the ring
         self._plain: Any = None  # the transport, where bytes can go straight to its socket
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -102,9 +105,23 @@
             self._flowing = True
             self.transport.registerProducer(_Outflow(self), False)
 
+    def put_behind(self, pieces: Iterable[bytes]) -> None:
+        """More to be written, without a copy. Nothing else may be put until it is."""
+        self._behind.extend(pieces)
+        if not self._flowing:
+            self._flowing = True
+            self.transport.registerProducer(_Outflow(self), False)
+
+    @property
+    def waiting(self) -> bool:
+        """Whether something still waits here to be written."""
+        return len(self.outward) > 0 or len(self._behind) > 0
+
     def flow(self) -> None:
         if len(self.outward):
             self.transport.write(self.outward.read(CHUNK))
+        elif self._behind:
+            self.transport.write(self._behind.popleft())
         elif self._flowing:
             self._flowing = False
             self.transport.unregisterProducer()
--- /dev/null
+++ b/tests/test_stream.py
@@ -0,0 +1,242 @@
+"""Values too large to hold: answers in pieces, writes held once."""
+
+import h11
+import pytest
+from fleet import ORIGIN_PORT, Line, Sockets, get
+
+from hookpitch.core.resp import bulk, command
+from hookpitch.core.ring import Ring
+from hookpitch.core.resp import Parser
+from hookpitch.core.stream import HELD, MOST, Pieces, Stream
+
+LARGE = 300_000
+VALUE = bytes(range(256)) * (LARGE // 256 + 1)
+VALUE = VALUE[:LARGE]
+REST = b"$3\r\nhit\r\n$-1\r\n"
+
+
+def begun(sockets: Sockets | None = None, id: str = "a") -> tuple[Sockets, Line, Line]:
+    """A client that asked, and the connection on which its RPC is out."""
+    s = sockets or Sockets()
+    client = s.client()
+    client.say(get(id))
+    s.pass_time(1)
+    server = next(line for line in s.network.to(7000) + s.network.to(7001) if id.encode() in line.take())
+    return s, client, server
+
+
+def heads(server: Line, length: int = LARGE) -> None:
+    server.say(b"*3\r\n$%d\r\n" % length)
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000, 65536, LARGE])
+def test_a_large_answer_passes_whole_in_whatever_pieces_it_comes(size: int) -> None:
+    s, client, server = begun()
+    reply = b"*3\r\n" + bulk(VALUE) + REST
+    got = b""
+    for at in range(0, len(reply), size if size > 1 else 997):
+        server.say(reply[at : at + (size if size > 1 else 997)])
+        got += client.take()
+    assert got == bulk(VALUE) and not client.ended and not server.ended
+    client.say(get("b"))  # both connections serve on
+    s.pass_time(1)
+    assert s.request(server.port) and s.counters.counts["completed.read"] == 1
+
+
+def test_the_first_bytes_go_on_at_once_and_the_last_wait_for_the_whole_reply() -> None:
+    s, client, server = begun()
+    heads(server)
+    server.say(VALUE[:1000])
+    assert client.take() == b"$%d\r\n" % LARGE + VALUE[:1000]
+    server.say(VALUE[1000:])
+    assert client.take() == VALUE[1000:-HELD]
+    server.say(b"\r\n" + REST[:-1])
+    assert not client.take()
+    server.say(REST[-1:])
+    assert client.take() == VALUE[-HELD:] + b"\r\n"
+
+
+@pytest.mark.parametrize("end", [b"xx" + REST, b"\r\n!what\r\n", b"\r\n$9\r\nhit", None])
+def test_a_spoilt_answer_never_becomes_whole_and_the_client_can_tell(end: bytes | None) -> None:
+    s, client, server = begun()
+    heads(server)
+    server.say(VALUE)
+    if end is not None:
+        server.say(end)
+    server.end()
+    s.pass_time(1)
+    assert len(client.take()) < len(bulk(VALUE))
+    s.pass_time(1)
+    assert client.ended
+    counts = s.counters.counts
+    assert counts["failed.read"] == 1 and counts["tx.sent"] == 1 and not s.node.host.open
+
+
+def test_no_deadline_cuts_off_what_the_server_still_gives_but_silence_does() -> None:
+    s, client, server = begun()
+    heads(server)
+    for at in range(0, 10_000, 1000):
+        server.say(VALUE[at : at + 1000])
+        s.pass_time(900)
+    assert not client.ended and len(client.take()) > 10_000
+    s.pass_time(1100)
+    assert client.ended and server.ended and s.counters.counts["streams.silent"] == 1
+
+
+def test_a_slow_reader_stops_the_server_and_a_dead_one_is_let_go() -> None:
+    s, client, server = begun()
+    client.reads = False
+    heads(server, MOST)
+    sent = 0
+    while not server.paused and sent < MOST:
+        server.say(bytes(65536))
+        sent += 65536
+    room = s.node.clients.stream_room
+    assert server.paused and sent <= room + 2 * 65536
+    client.reads = True
+    client.take()
+    assert not server.paused
+    client.reads = False
+    while not server.paused:
+        server.say(bytes(65536))
+    s.pass_time(1100)
+    assert server.ended and s.counters.counts["failed.read"] == 1
+    s.pass_time(6000)
+    assert client.ended
+
+
+def test_many_streams_share_what_may_wait() -> None:
+    s = Sockets()
+    alone = s.node.clients.stream_room
+    s.node.clients.streams = 200
+    assert s.node.clients.stream_room < alone
+    s.node.clients.streams = 0
+
+
+def test_an_answer_behind_another_waits_and_goes_on_in_its_order() -> None:
+    s = Sockets()
+    client = s.client()
+    client.say(get("a") + get("b", "other"))
+    s.pass_time(1)
+    lines = {(b"b" if b"other" in data else b"a"): line for line in s.network.to(7000) + s.network.to(7001)
+             if (data := line.take())}  # fmt: skip
+    heads(lines[b"b"])
+    assert lines[b"b"].paused and not client.take()
+    lines[b"a"].say(b"*3\r\n$1\r\nv\r\n" + REST)
+    assert not lines[b"b"].paused
+    lines[b"b"].say(VALUE + b"\r\n" + REST)
+    assert client.take() == bulk(b"v") + bulk(VALUE)
+
+
+def test_a_client_that_leaves_in_the_middle_frees_the_server() -> None:
+    s, client, server = begun()
+    heads(server)
+    client.end()
+    s.pass_time(1)
+    assert server.ended and not s.node.host.open and not s.node.clients.streams
+
+
+def test_a_large_body_of_the_origin_passes_and_one_cut_short_breaks() -> None:
+    for whole in (True, False):
+        s, client, server = begun()
+        server.say(b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n")
+        s.pass_time(1)
+        (o,) = s.network.to(ORIGIN_PORT)
+        o.take()
+        o.say(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % LARGE + VALUE[:5000])
+        assert client.take().endswith(VALUE[:5000])
+        o.say(VALUE[5000:] if whole else VALUE[5000:-1])
+        if not whole:
+            o.end()
+        s.pass_time(1)
+        assert len(client.take()) == LARGE - 5000 + (2 if whole else -HELD)
+        s.pass_time(1)
+        assert client.ended is not whole
+
+
+# ---- writes
+
+
+def write(id: str, value: bytes) -> bytes:
+    return command(b"OBJ.SET", b"k", id.encode(), b"c=read,d=900", value)
+
+
+def test_a_large_write_goes_to_the_origin_whole_and_its_memory_is_given_back() -> None:
+    s = Sockets()
+    client = s.client()
+    data = write("a", VALUE)
+    for at in range(0, len(data), 3000):
+        client.say(data[at : at + 3000])
+    s.pass_time(1)
+    assert s.node.host.held.now == LARGE
+    (o,) = s.network.to(ORIGIN_PORT)
+    server = h11.Connection(h11.SERVER)
+    server.receive_data(o.take())
+    assert isinstance(server.next_event(), h11.Request)
+    body = b""
+    while isinstance(event := server.next_event(), h11.Data):
+        body += bytes(event.data)
+    assert body == VALUE and isinstance(event, h11.EndOfMessage)
+    o.say(b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok")
+    assert client.take() == bulk(b"ok") and s.node.host.held.now == 0
+
+
+def test_many_large_writes_are_refused_before_memory_is_gone() -> None:
+    s = Sockets(memory_mb=32)
+    clients = [s.client() for _ in range(6)]
+    for n, client in enumerate(clients):
+        client.say(write(f"w{n}", bytes(MOST)))
+    s.pass_time(1)
+    said = [client.take() for client in clients]
+    assert said.count(b"-BUSY\r\n") == 4 and s.counters.counts["rejected.read"] == 4
+    for client in clients:
+        client.end()
+    s.pass_time(1)
+    assert s.node.host.held.now == 0
+
+
+def test_a_write_that_comes_slowly_is_no_silent_client_and_one_that_stops_is() -> None:
+    s = Sockets()
+    client = s.client()
+    data = write("a", VALUE)
+    for at in range(0, 50_000, 5000):
+        client.say(data[at : at + 5000])
+        s.pass_time(1000)
+    assert not client.ended
+    s.pass_time(3000)
+    assert client.ended and s.node.host.held.now == 0
+
+
+@pytest.mark.parametrize("said", [
+    b"*5\r\n$7\r\nOBJ.SET\r\n$%d\r\n" % LARGE, b"*2\r\n$%d\r\n" % LARGE, b"*5\r\n$4194305\r\n",
+    command(b"OBJ.SET", b"k", b"r", b"c=read,d=900")[:-2].replace(b"*4", b"*5") + b"\r\n$4194305\r\n",
+])  # fmt: skip
+def test_only_a_value_may_be_large(said: bytes) -> None:
+    s = Sockets()
+    client = s.client()
+    client.say(said)
+    assert client.take().startswith(b"-ERR")
+    s.pass_time(1)
+    assert client.ended and s.node.host.held.now == 0
+
+
+def test_what_passes_and_what_is_held_is_what_came() -> None:
+    for size in (1, HELD - 1, HELD, HELD + 1, 5000):
+        stream = Stream(None, LARGE, 0.0, 0.0)
+        out = b"".join(stream.piece(VALUE[at : at + size]) for at in range(0, LARGE, size))
+        assert out + stream.held == VALUE and len(stream.held) == HELD and not stream.left
+    pieces = Pieces()
+    for at in range(0, LARGE, 7):
+        pieces.add(VALUE[at : at + 7])
+    assert b"".join(pieces.parts) == VALUE and len(pieces) == LARGE and len(pieces.parts) < 12
+
+
+def test_the_parser_tells_of_a_large_value_and_goes_on_behind_it() -> None:
+    ring = Ring()
+    parser = Parser(ring, most=MOST)
+    ring.write(b"*3\r\n" + bulk(VALUE) + REST + b"+OK\r\n")
+    assert parser.next() == (False, None) and parser.passing == LARGE
+    got = b""
+    while parser.passing:
+        got += parser.part(65536)
+    assert got == VALUE and parser.next() == (True, [b"", b"hit", None]) and parser.next()[1] == b"OK"
