--- a/hookpitch/lab/experiment.py
+++ b/hookpitch/lab/experiment.py
@@ -54,9 +54,12 @@
     "hot_key",
     "rude",
     "far",
+    "suspend",
+    "node_drain",
+    "callers",
 )
-ON_SERVERS = FAULTS[:11]
-ON_NODES = ("node_kill", "node_leave", "node_pause", "node_slow")
+ON_SERVERS = (*FAULTS[:11], "suspend")
+ON_NODES = ("node_kill", "node_leave", "node_pause", "node_slow", "node_drain")
 
 
 class Strict(
--- a/hookpitch/lab/judge.py
+++ b/hookpitch/lab/judge.py
@@ -20,6 +20,7 @@
 
     drain_grace_ms: float = 3000.0
     gone_told_ms: float = 6000.0  # a change counts as told by then, whether or not it arrived
+    unused_ms: float = 5000.0  # a server that was called back is used again by then
     most_transmissions: int = 3
     second_copies: bool = False
     retriable: Mapping[str, bool] = field(default_factory=dict)  # by method: whether it may run again
@@ -156,6 +157,9 @@
     def _servers(self, history: History) -> None:
         told: dict[tuple[str, str], float] = {}  # (node, server): since when it is to be left alone
         changed: dict[str, float] = {}  # a server that is not in service: since when
+        by_hand: dict[tuple[str, str], float] = {}  # (node, server): since when it is left out by hand
+        back: list[tuple[str, str, float]] = []  # node, server, when it was called back
+        used: dict[tuple[str, str], float] = {}  # (node, server): the last transmission
         for e in history.events:
             if e.kind == "told" and " " in e.what:
                 server, health = e.what.split(" ")
@@ -174,7 +178,25 @@
                 if e.at > since + self.rules.drain_grace_ms + SLACK_MS:
                     why = f"sent to {e.who} {e.at - since:.0f} ms after it was told to drain"
                     self._say("rule 3", e.at, e.rpc, why)
+                since = by_hand.get((e.what, e.who), float("inf"))
+                if e.at > since + self.rules.drain_grace_ms + SLACK_MS:
+                    why = f"sent to {e.who} {e.at - since:.0f} ms after it was left out by hand"
+                    self._say("rule 3", e.at, e.rpc, why)
+                used[e.what, e.who] = e.at
+            elif e.kind == "banned":
+                by_hand.setdefault((e.who, e.what), e.at)
+            elif e.kind == "back":
+                by_hand.pop((e.who, e.what), None)
+                back.append((e.who, e.what, e.at))
+            elif e.kind == "held":
+                self._say("drain", e.at, "", f"{e.who} holds {e.value:.0f} clients' connections in a drain")
+            elif e.kind == "call" and (e.what.startswith("late") or e.what.startswith("wrong")):
+                self._say("door", e.at, "", f"{e.who}: {e.what}")
             elif e.kind == "fell":
                 self._say(
                     "rule 4", e.at, e.rpc, f"{e.who} was pushed over while cold: {e.value:.1f} times its work"
                 )
+        end = history.events[-1].at if history.events else 0.0
+        for node, server, at in back:
+            if end > at + self.rules.unused_ms and used.get((node, server), -1.0) < at:
+                self._say("unused", at, "", f"{node} did not use {server} again after it was called back")
--- a/hookpitch/lab/run.py
+++ b/hookpitch/lab/run.py
@@ -21,15 +21,19 @@
 from hookpitch.net.start import read_post
 from hookpitch.standin.cache import Make
 from hookpitch.standin.cache_server import CacheServer
+from hookpitch.standin.calls import Calls
 from hookpitch.standin.crowd import Crowd, Keys, Kind, Manner, Rudes
 from hookpitch.standin.discovery import Directory, Listed
 from hookpitch.standin.history import History
 from hookpitch.standin.origin import Origin, OriginMake
 from hookpitch.standin.web import DiscoveryServer, OriginServer
 
-CACHE_PORT, ORIGIN_PORT, DISCOVERY_PORT, NODE_PORT = 6379, 8080, 8500, 6379
+CACHE_PORT, ORIGIN_PORT, DISCOVERY_PORT, NODE_PORT, DOOR_PORT = 6379, 8080, 8500, 6379, 15000
 SETTLE_S = 2.0  # after the last RPC was asked, before the run ends
+RESTART_S = 0.5  # that a restart takes
 BEFORE_S = 1.0  # from the nodes' start to the first RPC
+ASKED_S = 0.3  # and after so long that a drained one says no
+DRAINED_S = 4.0  # after which a drained node holds no client's connection
 FRONT_S = 3.0  # a front notices after so long that a node has died
 
 
@@ -76,7 +80,8 @@
         run, self.starts = self.run, self.starts + 1
         run.history.add(run.now(), "start", self.name)
         reactor = self.machine.start()
-        told = read_post(run.told(self, f"10.2.0.1:{DISCOVERY_PORT}"), {})
+        top = run.told(self, f"10.2.0.1:{DISCOVERY_PORT}")
+        told = read_post(top | {"management": f"{self.address}:{DOOR_PORT}"}, {})
         world, self.counters = run.world, Counters()
         clock = Clock(reactor, reactor.seconds, lambda: world.epoch + world.now)
         self.node = SocketNode(
@@ -521,6 +526,52 @@
             self.node.kill()
         self.node_kill_ends()
 
+    def node_drain(self) -> None:
+        """An operator's PAUSE, and RESUME at the end. The front sends new connections for a little longer."""
+        run, name = self.run, self.fault.whom
+        if self.node.node is None:
+            return
+        self.node.node.pause()
+        run.world.at(run.world.now + ASKED_S, None, self._front_away, name)
+        run.world.at(run.world.now + DRAINED_S, None, self._still_held, name, self.node.node)
+
+    def _front_away(self, name: str) -> None:
+        if name in self.run.crowd.in_use:
+            self.run.crowd.in_use.remove(name)
+
+    def _still_held(self, name: str, process: SocketNode) -> None:
+        if process.paused and self.run.crowd.held[name]:
+            self.run.history.add(self.run.now(), "held", name, value=self.run.crowd.held[name])
+
+    def node_drain_ends(self) -> None:
+        if self.node.node is not None:
+            self.node.node.resume()
+            self.run.world.at(self.run.world.now + ASKED_S, None, self._front, self.fault.whom, True)
+
+    def suspend(self) -> None:
+        """By hand, at all nodes, and back at the end; after `by` seconds (1) the server is restarted."""
+        run, server = self.run, self.fault.whom
+        for node in run.nodes.values():
+            if node.node is not None and not node.node.suspend(server):
+                run.history.add(run.now(), "banned", node.name, what=server)
+        run.world.at(run.world.now + (self.fault.by or 1.0), None, self._restarted)
+
+    def _restarted(self) -> None:
+        self.crash()
+        self.run.world.at(self.run.world.now + RESTART_S, None, self.crash_ends)
+
+    def suspend_ends(self) -> None:
+        run, server = self.run, self.fault.whom
+        for node in run.nodes.values():
+            if node.node is not None and not node.node.restore(server):
+                run.history.add(run.now(), "back", node.name, what=server)
+
+    def callers(self) -> None:
+        """Operators' calls, some good and some not, at every node's door, and callers that say nothing."""
+        for name, node in self.run.nodes.items():
+            calls = Calls(self.run.crowd.reactor, self.run.history, name, (node.address, DOOR_PORT))
+            calls.start(self.fault.lasting or 1.0, self.fault.by or 5.0)
+
     def node_pause(self) -> None:
         span = self.fault.lasting or 0.3
         self.run.history.add(self.run.now(), "away", self.fault.whom, value=span * 1000)
--- a/hookpitch/lab/wall.py
+++ b/hookpitch/lab/wall.py
@@ -32,7 +32,7 @@
 CACHE_PORT, ORIGIN_PORT, DISCOVERY_PORT, NODE_PORT = 26379, 28080, 28500, 26380
 FIRST_NET = 10
 NODES_MOST = 100
-ONLY_VIRTUAL = ("vanish", "silence", "half_silence", "far", "node_slow")
+ONLY_VIRTUAL = ("vanish", "silence", "half_silence", "far", "node_slow", "suspend", "node_drain", "callers")
 READY_S = 20.0  # for all nodes to answer after their start
 
 
