In a crowd the longest silent connection gives way; operators in the lab

Change: connections without work stand in two lines, between RPCs and without a whole one, the longest silent first; the door holds 16 descriptors, not 28.

--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -33,6 +33,7 @@
 PROGRESS = 4096  # bytes of a large value, which show that its client is not silent
 LAST_MS = 5000.0  # for the last answers of a connection that ends to be read
 REFUSED = Pieces()  # stands for a large value that is not held
+YIELD_MS = 250.0  # without a byte, after which one without a whole request may have to give way
 LOOKED_AT = 16  # connections that are weighed when one has to give way
 
 
@@ -51,18 +52,20 @@
         self.ending = self.lost = self.guest = False  # ending: nothing more is read
         self._taking = self.asked = self.parting = False  # asked: a whole command has come
         self.since = 0.0  # the last answer, or the first byte of a command; at first the connection itself
+        self.heard = 0.0  # the latest byte
 
     def connectionMade(self) -> None:  # noqa: N802
         super().connectionMade()
         self.number = self.host.connections.add(self)
-        self.since = self.clients.clock.now()
-        self.clients.open[self] = None
+        self.since = self.heard = self.clients.clock.now()
+        self.clients.open[self] = self.clients.quiet[self] = None
         self.host.counters.add("clients.connected")
         self.clients.make_room(self)
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.heard = self.clients.clock.now()
         if self.asked and self.parser.between:
-            self.since = self.clients.clock.now()
+            self.since = self.heard
         if self.parser.passing and not len(self.inward) and not self.ending:
             most = self.parser.passing
             part = data if len(data) <= most else data[:most]  # past the ring
@@ -107,6 +110,15 @@
         if self.ending:
             self.inward.skip(len(self.inward))
         self._flush()
+        self.file()
+
+    def file(self) -> None:
+        """Into the line of those from which one is chosen to give way: the longest silent stands first."""
+        clients = self.clients
+        clients.idle.pop(self, None)
+        clients.quiet.pop(self, None)
+        if not self.due and not self.ending and not self.lost and not len(self.outward):
+            (clients.idle if self.asked and self.parser.between else clients.quiet)[self] = None
 
     def _take(self, age: float) -> None:
         for _ in range(BATCH):
@@ -237,6 +249,8 @@
                 self.pauseProducing()
             self.clients.spare_memory()
         self._resume()
+        if not self.due:
+            self.file()
         self._end()
 
     def _resume(self) -> None:
@@ -250,6 +264,7 @@
             # Danger: a request that stands unread in the kernel counts as taken.
             getattr(self.transport, "doRead", lambda: None)()
         self._resume()
+        self.file()
         self._end()
 
     @property
@@ -291,6 +306,8 @@
         self._let_go()
         self.host.connections.free(self.number)
         self.clients.open.pop(self, None)
+        self.clients.idle.pop(self, None)
+        self.clients.quiet.pop(self, None)
         self.due.clear()
         self.head = None
         self.clients.streams -= len(self.streams)
@@ -308,6 +325,8 @@
         `memory`: bytes that unread answers may hold."""
         self.host, self.clock, self.most, self.memory, self.room = host, clock, most, memory, room
         self.open: dict[Client, None] = {}  # the one that was answered last stands last
+        # Nothing is in work on these, the longest silent first: between RPCs, and without a whole one yet.
+        self.idle, self.quiet = dict[Client, None](), dict[Client, None]()
         self.guests, self.streams = guests, 0  # streams: answers that pass in pieces now
         clock.deadlines.add(clock.now() + SWEEP_MS, self.sweep)
         self.leaving: Callable[[], None] | None = None
@@ -330,13 +349,18 @@
         """Danger: clients that keep connections and use none shut all others out."""
         if len(self.open) <= self.most:
             return
-        for client in list(islice(self.open, LOOKED_AT)):
-            if client.due or client.ending:  # Danger: the same busy ones weighed again for each newcomer
-                del self.open[client]
-                self.open[client] = None
-        for client in islice(self.open, LOOKED_AT):
-            if client.idle and client is not newcomer and not client.unread():
+        for client in islice(self.idle, LOOKED_AT):
+            if client.idle and not client.unread():
                 return self.close(client, "closed_idle")
+        if len(self.open) <= self.room:
+            return
+        # Danger: hundreds that send half of a request in the place of true ones. A slow but honest client
+        # goes on writing, so the one that has been silent for longest gives way, not the one that came first.
+        for client in islice(self.quiet, LOOKED_AT):
+            if client.heard > newcomer.heard - YIELD_MS:
+                break
+            if not client.kernel():
+                return self.close(client, "closed_silent")
         if len(self.open) > self.room:
             # Danger: with no descriptor left, Twisted closes what it accepts, with an RPC on it. A guest is
             # answered that there is no room, and goes.
@@ -389,6 +413,7 @@
     def close(self, client: Client, why: str) -> None:
         self.host.counters.add(f"clients.{why}")
         client.ending = True
+        client.file()
         client.end_now()
 
     def spare_memory(self) -> None:
--- a/hookpitch/net/management.py
+++ b/hookpitch/net/management.py
@@ -16,7 +16,8 @@
 from hookpitch.core.deadlines import Deadline
 from hookpitch.net.clock import Clock
 
-CALLERS = 12  # at once; the one that has been silent for longest gives way
+CALLERS = 8  # at once; the one that has been silent for longest gives way
+SPARE = 4  # more, whose answer is still being read
 CALL_MS = 3000.0  # a caller has its answer in hand by then, or goes
 LINE_MOST = 512  # bytes
 YES, NO = b"YES", b"NO"
@@ -79,7 +80,7 @@
 
     def buildProtocol(self, addr: Any) -> Caller | None:  # noqa: ANN401, N802
         # Danger: callers that read nothing hold their connection until its time is up.
-        return Caller(self) if self.held < 2 * CALLERS else None
+        return Caller(self) if self.held < CALLERS + SPARE else None
 
     def came(self, caller: Caller) -> None:
         self.held += 1
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -16,14 +16,14 @@
 from hookpitch.net.clock import Clock
 from hookpitch.net.discovery import Discovery
 from hookpitch.net.handover import Handover
-from hookpitch.net.management import CALLERS, Door
+from hookpitch.net.management import CALLERS, SPARE, Door
 from hookpitch.net.origin import OriginConnection
 from hookpitch.net.pulse import Pulse
 from hookpitch.net.start import Post
 
 BACKLOG = 4096
 OWN = 14  # descriptors: standard ones, the poller's, discovery's two, Twisted's reserve
-DOOR = 2 * CALLERS + 4  # the door's, the inherited socket's and the shared files'
+DOOR = CALLERS + SPARE + 4  # the door's, the inherited socket's and the shared files'
 FIRST_LIST_MS = 1500.0  # a process with an inherited socket waits so long for its first list
 FOLLOW_MS = 200.0  # between two looks at what the node's other process was told
 SERVE_ON_MS = 500.0  # after being asked to leave, while clients still come
--- a/hookpitch/standin/calls.py
+++ b/hookpitch/standin/calls.py
@@ -13,8 +13,8 @@
 from hookpitch.standin.history import History
 
 WAIT_MS = 1000.0  # for an answer
-CALLS = (  # in turn: what is said, and how the answer begins; None: nothing is asked
-    (b"STATUS\n", b"YES"),
+CALLS = (  # in turn: what is said, and how the answer may begin; None: nothing is asked
+    (b"STATUS\n", (b"YES\n", b"NO draining\n", b"NO leaving\n")),
     (b"METRICS\n", b"svc."),
     (b"SUSPEND no-such-server\n", b"NO"),
     (b"STAT", None),
@@ -26,7 +26,7 @@
 
 
 class Call(Protocol):
-    def __init__(self, calls: Calls, said: bytes, due: bytes | None) -> None:
+    def __init__(self, calls: Calls, said: bytes, due: bytes | tuple[bytes, ...] | None) -> None:
         self.calls, self.said, self.due, self.got, self.over = calls, said, due, b"", False
 
     def connectionMade(self) -> None:  # noqa: N802
