--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -431,13 +431,6 @@
 
     def _route(self, rpc: Rpc, host: Host) -> bool:  # True where the host was told something
         now, tries = self.now, len(rpc.txs)
-        if rpc.lost and rpc.queued and not (tries or rpc.over or self.shed):
-            # Danger: a slow home's line gives up what idle ones could do, as the origin is too busy for a miss.
-            for s in self._chain(rpc.bucket):
-                if s.ok and self._room(s) and not s.first and rpc.until - now > self.margin + s.latency:
-                    rpc.lost = False
-                    self._send(rpc, s, host)
-                    return True
         if rpc.lost or tries >= self.max_txs or rpc.until - now <= self.margin:
             return self._give_up(rpc, host)
         if self.origin_kind >= 0 and (rpc.write or rpc.missed or (tries and tries == self.max_txs - 1)):
