What a slow home's line gives up sheds nothing while other caches are at ease

Change: such RPCs do not count towards shedding while another server of the chain is at ease. The test fails on the decisions before.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -496,7 +496,10 @@
 
     def _give_up(self, rpc: Rpc, host: Host) -> bool:
         m = rpc.method
-        self.turned += not rpc.over and not rpc.missed and (rpc.lost or any(not t.ran for t in rpc.txs[-1:]))
+        # Danger: what one slow home's line gives up while others stand idle, taken for a fleet that is full.
+        idle = rpc.lost and sum(self._eased(s, m) for s in self._chain(rpc.bucket)) > 1
+        turned = rpc.lost or any(not t.ran for t in rpc.txs[-1:])
+        self.turned += turned and not (rpc.over or rpc.missed or idle)
         harmless = m.idempotency == Idempotency.RETRIABLE or not any(tx.ran for tx in rpc.txs)
         if harmless or (m.idempotency == Idempotency.DEDUPED and m.group == "all"):
             host.exhaust(rpc.id, min(self.retry_after, m.soft_ms) * (0.5 + self._chance() / 2))
@@ -533,6 +536,9 @@
             busy = busy or s
         return busy
 
+    def _eased(self, s: Server, m: Method) -> bool:  # it takes what it is sent, at once, and could take more
+        return s.ok and max(START_LIMIT, 2 * len(s.live)) < s.limit and s.latency < TARGET * m.soft_ms / 2
+
     def _room(self, s: Server) -> bool:
         # A limit under one is kept by rests: one transmission is out for that part of the time.
         free = len(s.live) < max(1, int(s.limit)) and (s.limit >= 1 or self.now >= s.rest_until)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -2,6 +2,8 @@
 
 from zlib import crc32
 
+import pytest
+
 from fleet import ORIGIN, Fleet, deployment, entry
 
 from hookpitch.balancer.decisions import BUCKETS, Bucket, Server, migrate, nearest, target_point, weights
@@ -212,3 +214,19 @@
     assert len(f.node.servers) <= 6 and len(f.node.caches) <= 5
     f.listed([entry("s0", started=f.now - 1)], ListKind.DELTA)
     assert f.node.servers["s0"].cold_until > f.now and f.node.servers["s0"].heard == 0
+
+
+@pytest.mark.parametrize("eased", [True, False])
+def test_what_one_slow_homes_line_gives_up_sheds_nothing_while_others_are_at_ease(eased: bool) -> None:
+    fleet = Fleet(deployment(second_copies=False))
+    fleet.listed([entry("s1"), entry("s2"), entry("s3"), entry("o1", kind=ORIGIN)])
+    fleet.pass_time(10)
+    node = fleet.node
+    for s in node.servers.values():
+        s.limit, s.latency = (1.0, 350.0) if s.id == "s1" else (6.0, 20.0 if eased else 350.0)
+    node.origin.limit = 1.0
+    fleet.arrive(key="busy", write=True)  # the origin has no room for a miss
+    home = [f"k{n}" for n in range(400) if node._bucket(crc32(b"k%d" % n) % BUCKETS).at.id == "s1"]
+    for key in home[:20]:
+        fleet.arrive(key=key)
+    assert (node.turned == 0) is eased and list(fleet.answers.values()).count("exhausted") > 10
