--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -49,7 +49,7 @@
         self.limit, self.least, self.growth, self.latency = START_LIMIT, 1.0, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
         self.answered_at = self.struck_at = self.rest_until = self.started = self.cold_until = -FAR
-        self.tokens = self.refilled = 0.0  # for its time as a cold server
+        self.tokens, self.refilled, self.boost = 0.0, 0.0, 1.0  # for its time as a cold server
         self.open, self.last, self.sent, self.rate = False, -FAR, 0, 0.0  # a connection; the latest send
         self.load = -1.0  # as reported, averaged; -1 where it is not
         self.first, self.again = list[Place](), list[Place]()  # lines; further transmissions have their own
@@ -153,6 +153,7 @@
         self.origin_kind, self.cancelling, self.max_txs = d.origin_kind, d.cancelling, d.max_transmissions
         self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
         self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
+        self.boost_most = max(1.0, d.overload_factor / 1.5)  # times a cold server's even part
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
         # Danger: hundreds of nodes that start together ask discovery at once; it turns nearly all away.
         self.ask_at = now + self.ask_within / 2 * (1 - 1 / self.nodes) * self._chance() if d.must_ask else FAR
@@ -284,7 +285,7 @@
         if outcome <= Outcome.MISS:
             self._answered(tx, took, outcome == Outcome.COMPLETED)
         elif outcome == Outcome.FULL:
-            s.answered_at = now
+            s.answered_at, s.boost = now, 1.0
             s.limit = max(s.least, min(s.limit, 0.8 * (len(s.live) + 1)) if s.live else s.limit / 2)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
             # Danger: a server that refuses after failures died and comes back cold, maybe unannounced. One
@@ -549,7 +550,7 @@
         # tokens, what a warm one gets from this node, cut by the slowest warm-up, the first at a drawn time.
         grown = max(0.0, 1 - (s.cold_until - self.now) / self.cold_ms) if self.cold_ms else 1.0
         share = self.cold_share + (1 - self.cold_share) * grown
-        gain = (self.now - s.refilled) * share * self.warm_rate * s.size / 1000
+        gain = (self.now - s.refilled) * share * s.boost * self.warm_rate * s.size / 1000
         s.tokens, s.refilled = min(max(1.0, s.tokens), s.tokens + gain), self.now
         return s.tokens >= 1
 
@@ -578,6 +579,8 @@
             s.latency += (took - s.latency) * (0.1 if s.latency else 1.0)
         # Danger: work that varies is no congestion. While caches keep up, the origin's mean must be slow.
         slow, eased = TARGET * tx.rpc.method.soft_ms, s is self.origin and self.pressure < SHED_FROM / 2
+        # Danger: with most caches cold, an even part is little, and RPCs are turned away before idle caches.
+        s.boost = min(self.boost_most, s.boost * 1.1) if took < slow / 2 else 1.0
         if took > slow and not (eased and s.latency <= slow):
             s.limit, s.growth = max(s.least, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
@@ -598,7 +601,7 @@
 
     def _cool(self, s: Server, since: float) -> None:
         if self.now >= s.cold_until:
-            s.tokens, s.refilled = self._chance(), self.now
+            s.tokens, s.refilled, s.boost = self._chance(), self.now, 1.0
         s.cold_until = since + self.cold_ms
 
     def _abandon(self, tx: Tx) -> None:  # call it off where another server may still answer in time
