--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -132,6 +132,39 @@
     assert "answered" in str(broken) and "came" in str(broken), "the RPC's whole history is told"
 
 
+def asked_at(history: History, at: float, rpc: str, server: str = SERVER) -> None:
+    history.add(at, "asked", NODE, rpc, "read", 500.0, 7)
+    history.add(at, "came", server, rpc, NODE, 0.0, 1)
+    history.add(at + 1, "sent", server, rpc, "hit")
+    history.add(at + 2, "answered", NODE, rpc, "completed")
+
+
+@pytest.mark.parametrize(("at", "rules"), [(4040.0, []), (4060.0, ["rule 3"])])
+def test_the_judge_holds_a_ban_whatever_the_list_says(at: float, rules: list[str]) -> None:
+    history = History()
+    history.add(1000.0, "banned", NODE, what=SERVER)
+    history.add(1500.0, "told", NODE, what=f"{SERVER} in_service")
+    history.add(1500.0, "listed", SERVER, what="in_service")
+    asked_at(history, at, "q1")
+    history.add(at + 100, "back", NODE, what=SERVER)
+    asked_at(history, at + 200, "q2")
+    assert [b.rule for b in Judge(Rules()).judge(history, 60000.0)] == rules
+
+
+def test_the_judge_names_a_server_left_unused_a_drain_that_holds_clients_and_a_door_that_fails() -> None:
+    history = History()
+    history.add(1000.0, "back", NODE, what=SERVER)
+    for n in range(300):
+        asked_at(history, 1100.0 + 20 * n, f"q{n}", "s1")
+    assert [b.rule for b in Judge(Rules()).judge(history, 60000.0)] == ["unused"]
+    history.add(8000.0, "held", NODE, value=2.0)
+    history.add(8100.0, "call", NODE, what="well")
+    history.add(8200.0, "call", NODE, what="late: b'STATUS' has b'' and no end")
+    assert [b.rule for b in Judge(Rules()).judge(history, 60000.0)] == ["unused", "drain", "door"]
+    history.add(8150.0, "stop", NODE)  # a node that was killed answers nobody
+    assert [b.rule for b in Judge(Rules()).judge(history, 60000.0)] == ["unused", "drain"]
+
+
 # ---- files
 
 
