--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -160,7 +160,6 @@
         self.ask_at = now + self.ask_within / 2 * (1 - 1 / self.nodes) * self._chance() if d.must_ask else FAR
         self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
         self.servers, self.rpcs, self.bans = dict[str, Server](), dict[str, Rpc](), dict[str, None]()
-        self.work = 0.0  # usual time of an answer from a cache of size one, in ms
         self.origin, self.ring = None, array("Q")  # a point, and in sixteen bits a cache's place in `caches`
         self.buckets, self.caches = dict[int, Bucket](), list[Server]()  # asked for so far; all on the ring
         self.closing, self.freed = deque[Server](), deque[Server]()
@@ -490,8 +489,7 @@
         rpc.txs.append(tx)
         s.live[tx] = None
         s.sent, s.open, s.last, s.tokens = s.sent + 1, True, now, s.tokens - (now < s.cold_until)
-        usual = s.latency if s.latency or s is self.origin else self.work / s.size
-        patience = max(PATIENCE * rpc.method.soft_ms, 4 * usual)
+        patience = max(PATIENCE * rpc.method.soft_ms, 4 * s.latency)
         heapq.heappush(self.wakes, (now + patience, self._count(), rpc, tx))
         host.send(rpc.id, s.id, rpc.until - now)
 
@@ -586,9 +584,6 @@
             self._tell(f"{s.id} back on the path")
         s.ok = s.state == State.READY and self.now >= s.cold_until
         if full_work:
-            if s is not self.origin:
-                self.work += (took * s.size - self.work) * (0.02 if self.work else 1.0)
-                s.latency = s.latency or self.work / s.size
             s.latency += (took - s.latency) * (0.1 if s.latency else 1.0)
         # Danger: work that varies is no congestion. While caches keep up, the origin's mean must be slow.
         slow, eased = TARGET * tx.rpc.method.soft_ms, s is self.origin and self.pressure < SHED_FROM / 2
