A bucket too heavy for its cache is spread over several, each node by its own draw

At this ratio of nodes to boxes a node sends a box 0.2 RPCs a second, so no round has its eight answers and limits never bind. To blame: `_home`, which gives any bucket one cache.

Now the node counts a bucket's part of its last 256 RPCs. If twice that part of the fleet's size is more than its home, the bucket belongs to the first caches along the ring that hold so much, and each node takes one of them by its own draw, by size.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -20,6 +20,8 @@
 BUCKETS = 4096  # the unit moved; a hundred for each cache of a fleet of forty
 RING_POINTS = 150  # of a cache of mean size
 CHAIN = 8  # servers looked at along the ring
+SPREAD = 2.0  # a bucket that is more than its home's part of the fleet over this is spread over several
+RECALL = 256  # RPCs by which a node tells a bucket's part of its traffic
 ROUND_MS = 2500.0  # half the design page's starting value
 DEAD_BAND = 1.5  # a round acts only when the heaviest is this many times the mean
 MOVE_CAP = 4 / 3  # buckets a round for each cache
@@ -64,6 +66,7 @@
         self.at: Server | None = None
         self.chain: list[Server] | None = None  # along the ring, home first; made when asked for
         self.count, self.rate, self.keys = 0, 0.0, 0
+        self.seen, self.wide = 0.0, 0.0  # lately asked for; of a heavy bucket: the size it is spread over
 
 
 class Tx:
@@ -162,6 +165,7 @@
         self.servers, self.rpcs, self.bans = dict[str, Server](), dict[str, Rpc](), dict[str, None]()
         self.origin, self.ring = None, array("Q")  # a point, and in sixteen bits a cache's place in `caches`
         self.buckets, self.caches = dict[int, Bucket](), list[Server]()  # asked for so far; all on the ring
+        self.seen, self.size = 0.0, 1.0  # RPCs of the buckets' `seen`; sizes of all caches on the ring
         self.closing, self.freed = deque[Server](), deque[Server]()
         self.young, self.old = dict[str, None](), dict[str, None]()  # keys asked for, in two generations
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
@@ -257,6 +261,7 @@
         if key and key not in self.young:
             self.young[key] = None
             bucket.keys += key not in self.old
+        self._heavy(bucket)
         bucket.count, rpc = bucket.count + 1, Rpc(self._count(), id, key, bucket, m, write)
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
         # Danger: what stood unread here has that much less time; `grace` counts from when it came.
@@ -656,6 +661,7 @@
             ring += [p << 16 | n for p in array("I", shake_128(s.id.encode()).digest(4 * s.points))]
         if resized:
             self.ring = array("Q", sorted(ring))
+        self.size = sum(s.size for s in self.caches if s.state != State.GONE)
         for b in self.buckets.values():
             self._home(b)
 
@@ -668,9 +674,27 @@
 
     def _home(self, b: Bucket) -> None:
         moved, b.chain, b.home = b.at is not b.home, None, next(self._ready_from(b.point), None)
+        if b.home and b.wide > b.home.size:
+            room, met = b.wide, dict[Server, float]()
+            for s in self._ready_from(b.point):
+                if s not in met:
+                    drawn = crc32(b"%d/%d/" % (self.seed, b.point) + s.id.encode()) / 2**32
+                    met[s], room = drawn ** (1 / s.size), room - s.size
+                    if room <= 0:
+                        break
+            b.home = max(met, key=met.__getitem__)
         if not moved or b.at is None or b.at.state != State.READY:
             b.at = b.home
 
+    def _heavy(self, b: Bucket) -> None:
+        # Danger: one key is more than its cache can do, and no move of whole buckets helps. Each node takes one
+        # cache of the first few along the ring, by its own draw: as many as hold the bucket's part of the load.
+        b.seen, self.seen = b.seen + 1, self.seen + 1
+        wide = SPREAD * self.size * (b.seen - 1) / max(self.seen, RECALL / 4)
+        if b.home and (wide > max(1.25 * b.wide, b.home.size) or wide < b.wide / 2):
+            b.wide = wide
+            self._home(b)
+
     def _ready_from(self, point: int) -> Iterator[Server]:
         start, n = bisect_left(self.ring, point), len(self.ring)
         for i in range(start, start + n):
@@ -714,8 +738,10 @@
                 if key not in self.young:
                     self._bucket(crc32(key.encode()) % BUCKETS).keys -= 1
             self.old, self.young, self.aged_at = self.young, {}, self.now
+        fade = min(1.0, RECALL / max(1.0, self.seen))
+        self.seen *= fade
         for b in self.buckets.values():
-            b.rate, b.count = b.rate / 2 + b.count / 2, 0
+            b.rate, b.count, b.seen = b.rate / 2 + b.count / 2, 0, b.seen * fade
             if b.at in held:
                 held[b.at].append(b)
         caches = list(held)
