A silent transmission gets a second copy where copies are allowed

To blame: `_due`, which sends again only after a server's second silence in a row (a node meets a box once in five seconds), and `_abandon`, which calls off what is only slow. `second_copies` was read, not used.

Now, where the settings allow copies: after the patience a second copy goes along the ring and the first stays out; the first answer wins, the other is called off. The patience is twice the usual time by listed size, between 0.4 and 0.65 of the soft deadline; 0.4 for a cache that fails or is slow for its size.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -20,7 +20,8 @@
 BUCKETS = 4096  # the unit moved; a hundred for each cache of a fleet of forty
 RING_POINTS = 150  # of a cache of mean size
 CHAIN = 8  # servers looked at along the ring
-SPREAD = 2.0  # a bucket that is more than its home's part of the fleet over this is spread over several
+COPIES = 0.2  # second copies for each RPC, at the most
+SPREAD = 4.0  # a bucket that is more than its home's part of the fleet over this is spread over several
 RECALL = 256  # RPCs by which a node tells a bucket's part of its traffic
 ROUND_MS = 2500.0  # half the design page's starting value
 DEAD_BAND = 1.5  # a round acts only when the heaviest is this many times the mean
@@ -72,7 +73,7 @@
 class Tx:
     def __init__(self, rpc: Rpc, server: Server, n: int, sent: float) -> None:
         self.rpc, self.server, self.n, self.sent = rpc, server, n, sent
-        self.done = self.counted = self.begun = self.spoilt = False  # spoilt: its answer could not be read
+        self.done = self.counted = self.begun = self.spoilt = self.slow = False  # spoilt: its answer could not be read
         self.ran = True  # it may have, until proven otherwise
 
 
@@ -82,7 +83,7 @@
         self.until = self.aim = self.line = 0.0  # line: when its stay in one is over; 0 when in none
         self.share: Share | None = None  # whose token it holds until it is completed
         self.over = self.missed = self.closed = self.lost = False
-        self.txs, self.live = list[Tx](), 0
+        self.txs, self.live, self.slow = list[Tx](), 0, 0  # out; of these: silent, and another may be sent
         self.queued: Server | None = None  # in whose line
 
 
@@ -154,6 +155,7 @@
         part = 1000.0 * self.nodes  # of a quota a second over all nodes, to this node's a millisecond
         self.shares = {c.name: Share(c.quota_per_s / part, now) for c in d.customers if c.quota_per_s > 0}
         self.origin_kind, self.cancelling, self.max_txs = d.origin_kind, d.cancelling, d.max_transmissions
+        self.copies, self.spare_copies = d.second_copies, 4.0
         self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
         self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
         self.part = 1.0  # of the node's place, while another process beside this one has the rest
@@ -163,6 +165,7 @@
         self.ask_at = now + self.ask_within / 2 * (1 - 1 / self.nodes) * self._chance() if d.must_ask else FAR
         self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
         self.servers, self.rpcs, self.bans = dict[str, Server](), dict[str, Rpc](), dict[str, None]()
+        self.work = 0.0  # usual time of an answer from a cache of size one, in ms
         self.origin, self.ring = None, array("Q")  # a point, and in sixteen bits a cache's place in `caches`
         self.buckets, self.caches = dict[int, Bucket](), list[Server]()  # asked for so far; all on the ring
         self.seen, self.size = 0.0, 1.0  # RPCs of the buckets' `seen`; sizes of all caches on the ring
@@ -274,6 +277,7 @@
         if self.shed > 0 and share is None and low + width * self._chance() < self.shed:
             rpc.lost = rpc.over = True
         self.asked, self.rpcs[id] = self.asked + (not rpc.over), rpc
+        self.spare_copies = min(16.0, self.spare_copies + COPIES)
         self.todo.append(rpc)
 
     def tx_ended(self, now: float, id: str, n: int, outcome: Outcome, last: bool, took: float,
@@ -285,7 +289,7 @@
             return
         tx.done, tx.ran, s = True, outcome not in NEVER_RAN, tx.server
         tx.spoilt = outcome in ONE_OFF or (outcome == Outcome.CANCELLED and s.answered_at > tx.sent)
-        rpc.live -= 1
+        rpc.live, rpc.slow = rpc.live - 1, rpc.slow - tx.slow
         s.live.pop(tx, None)
         # Danger: hundreds of nodes, none of which ever fills a server, crowd it with what is over shares.
         answered = outcome <= Outcome.MISS or outcome == Outcome.TIMEOUT
@@ -390,7 +394,7 @@
             return True
         while self.todo:
             rpc = self.todo.popleft()
-            if not rpc.closed and not rpc.line and not rpc.live and self._route(rpc, host):
+            if not rpc.closed and not rpc.line and rpc.live == rpc.slow and self._route(rpc, host):
                 return True
         while self.freed:
             s = self.freed[0]
@@ -435,7 +439,10 @@
                 s, lost, tx.counted = tx.server, not any(t.counted for t in rpc.txs), True
                 if s.answered_at < tx.sent >= s.struck_at:
                     self._strike(s)
-                if s.failures > 1 if s.answered_at <= tx.sent else lost and self.pressure < SHED_FROM / 2:
+                calm = lost and self.pressure < SHED_FROM / 2
+                ease = self.origin is None or self.origin.latency < TARGET / 2 * rpc.method.soft_ms
+                if self.spare_copies >= 1 and ease if self.copies else calm if s.answered_at > tx.sent else s.failures > 1:
+                    self.spare_copies -= self.copies
                     self._abandon(tx)
         if now >= self.next_beat:
             self._beat()
@@ -445,6 +452,8 @@
 
     def _route(self, rpc: Rpc, host: Host) -> bool:  # True where the host was told something
         now, tries = self.now, len(rpc.txs)
+        if rpc.live and (tries >= self.max_txs or rpc.until - now <= self.margin):
+            return False  # what is still out may answer
         if rpc.lost or tries >= self.max_txs or rpc.until - now <= self.margin:
             return self._give_up(rpc, host)
         if self.origin_kind >= 0 and (rpc.write or rpc.missed or (tries and tries == self.max_txs - 1)):
@@ -494,7 +503,10 @@
         rpc.txs.append(tx)
         s.live[tx] = None
         s.sent, s.open, s.last, s.tokens = s.sent + 1, True, now, s.tokens - (now < s.cold_until)
-        patience = max(PATIENCE * rpc.method.soft_ms, 4 * s.latency)
+        # Danger: a server known to be slow is waited for until nothing else is in time.
+        soft, usual = rpc.method.soft_ms, 2 * self.work / s.size if self.copies else 4 * s.latency
+        sick = s.failures or s.latency > usual
+        patience = max(PATIENCE * soft, (0 if sick else min(usual, 0.65 * soft)) if self.copies else usual)
         heapq.heappush(self.wakes, (now + patience, self._count(), rpc, tx))
         host.send(rpc.id, s.id, rpc.until - now)
 
@@ -509,6 +521,9 @@
         return kind == Idempotency.DEDUPED and alike and remembered
 
     def _give_up(self, rpc: Rpc, host: Host) -> bool:
+        if rpc.live:
+            rpc.lost = False
+            return False
         m = rpc.method
         # Danger: what one slow home's line gives up while others stand idle, taken for a fleet that is full.
         idle = rpc.lost and sum(self._eased(s, m) for s in self._chain(rpc.bucket)) > 1
@@ -529,12 +544,14 @@
             rpc.share.tokens += 1
         if not rpc.live:
             self.rpcs.pop(rpc.id, None)
+        elif self.copies:
+            self.retract.extend(tx for tx in rpc.txs if not tx.done)
 
     # ---- off the ordinary path: along the ring
 
     def _along(self, rpc: Rpc) -> Server | None:  # the first fit server; else one whose line to stand in
         now, busy = self.now, None
-        crowded = self.origin and (self.origin.again or 2 * len(self.origin.live) >= self.origin.limit)
+        crowded = self._crowded()
         for s in self._chain(rpc.bucket):
             tried = any(tx.server is s and not tx.spoilt for tx in rpc.txs) or not self._may_send(rpc, s)
             if s.state != State.READY or tried or (now < s.cold_until and not self._cold_room(s)):
@@ -550,6 +567,10 @@
             busy = busy or s
         return busy
 
+    def _crowded(self) -> bool:  # the origin
+        s = self.origin
+        return s is not None and (bool(s.again) or 2 * len(s.live) >= s.limit)
+
     def _eased(self, s: Server, m: Method) -> bool:  # it takes what it is sent, at once, and could take more
         return s.ok and max(START_LIMIT, 2 * len(s.live)) < s.limit and s.latency < TARGET * m.soft_ms / 2
 
@@ -590,6 +611,8 @@
         s.ok = s.state == State.READY and self.now >= s.cold_until
         if full_work:
             s.latency += (took - s.latency) * (0.1 if s.latency else 1.0)
+            if s is not self.origin:
+                self.work += (took * s.size - self.work) * (0.02 if self.work else 1.0)
         # Danger: work that varies is no congestion. While caches keep up, the origin's mean must be slow.
         slow, eased = TARGET * tx.rpc.method.soft_ms, s is self.origin and self.pressure < SHED_FROM / 2
         # Danger: with most caches cold, an even part is little, and RPCs are turned away before idle caches.
@@ -619,7 +642,12 @@
 
     def _abandon(self, tx: Tx) -> None:  # call it off where another server may still answer in time
         rpc, kind = tx.rpc, tx.rpc.method.idempotency
-        if not rpc.closed and len(rpc.txs) < self.max_txs and kind != Idempotency.NON_RETRIABLE:
+        if rpc.closed or tx.slow or len(rpc.txs) >= self.max_txs or kind == Idempotency.NON_RETRIABLE:
+            return
+        if self.copies and not tx.begun:  # Danger: called off, what is only slow has run for nothing
+            tx.slow, rpc.slow = True, rpc.slow + 1
+            self.todo.append(rpc)
+        else:
             self.retract.append(tx)
 
     def _leave(self, s: Server, dead: bool) -> None:  # its line, and all that is out, is decided anew
