--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -130,6 +130,7 @@
 
 def test_resets_tell_of_connections_and_leave_a_server_warm() -> None:
     f = fleet(4)
+    f.node.seen = 1e6  # the key is one of many
     victim = f.txs[f.arrive("k")][0]["server"]
     for _ in range(4):  # a refused dial among good answers is a chance, too
         for outcome in (Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.COMPLETED):
@@ -252,3 +253,28 @@
         f.end(rpc, Outcome.COMPLETED)
         f.pass_time(10.0)
     raise AssertionError("nothing was sent there")
+
+
+def test_a_key_too_heavy_for_its_cache_is_spread_by_each_nodes_own_draw() -> None:
+    # Danger: no move of whole buckets helps a cache whose one key is more than it can do.
+    taken = set[str]()
+    for seed in range(24):
+        f = fleet(16, seed=seed)
+        for i in range(200):
+            f.end(f.arrive("hot" if i % 4 == 0 else f"k{i}"), Outcome.COMPLETED)
+        heavy, light = (f.node._bucket(crc32(key) % BUCKETS) for key in (b"hot", b"k1"))
+        assert light.home is next(f.node._ready_from(light.point))
+        assert heavy.home is heavy.at
+        taken.add(heavy.home.id)
+    assert len(taken) > 4
+
+
+def test_a_silent_transmission_gets_one_second_copy_and_the_first_answer_ends_both() -> None:
+    f = fleet(4, second_copies=True)
+    f.node.seen = 1e6
+    rpc = f.arrive("k")
+    f.pass_time(f.node.methods["read"].soft_ms * 0.7)
+    assert len(f.txs[rpc]) == 2 and f.txs[rpc][0]["server"] != f.txs[rpc][1]["server"]
+    assert len([out for out in f.out if out[0] == rpc]) == 2  # the first is still out
+    f.end(rpc, Outcome.COMPLETED, 1)
+    assert not f.open and f.txs[rpc][0].get("called_off")
