Sizes that move with load no longer move the ring: the kind's largest is the size

To blame: `servers_listed`, which takes the listed size for what a server is. Now, where the settings say `live`, a server's size is the largest seen of its kind, and what the weight lacks of that is its load (RPCs held a core), which goes before reports as the mechanism's CPU load.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -156,6 +156,7 @@
         self.shares = {c.name: Share(c.quota_per_s / part, now) for c in d.customers if c.quota_per_s > 0}
         self.origin_kind, self.cancelling, self.max_txs = d.origin_kind, d.cancelling, d.max_transmissions
         self.copies, self.spare_copies = d.second_copies, 4.0
+        self.nominal = dict[int, float]() if d.live_sizes else None  # the largest size seen of each kind
         self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
         self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
         self.part = 1.0  # of the node's place, while another process beside this one has the rest
@@ -204,9 +205,14 @@
                 s.limit = min(s.limit, START_LIMIT)
                 self._cool(s, started)
             changed |= s.listed != e.state
-            if e.state == State.READY and (not s.points or s.size != max(e.size, 1e-3)):
+            size = max(e.size, 1e-3)
+            if self.nominal is not None:
+                # Danger: sizes that move with load move the ring at every list, and every key with it.
+                full = self.nominal[e.kind] = max(size, self.nominal.get(e.kind, 0.0))
+                s.load, size = (full / size - 1) * full, full
+            if e.state == State.READY and (not s.points or s.size != size):
                 resized.append(s)
-            s.zone, s.cell, s.size, s.kind = e.zone, e.cell, max(e.size, 1e-3), e.kind
+            s.zone, s.cell, s.size, s.kind = e.zone, e.cell, size, e.kind
             if e.kind == self.origin_kind and s.least == 1.0:
                 s.least, s.limit = LEAST, min(START_LIMIT, ORIGIN_START / self.nodes)
             self._state(s, e.state)
@@ -296,7 +302,7 @@
         away = tx.sent < self.away_at  # Danger: the node's own pause taken for its servers' fault
         late = now - self.lag >= rpc.aim and not away and not tx.begun
         self.turned += late and answered and s is not self.origin and not rpc.over
-        if report:
+        if report and self.nominal is None:
             held = report.get("utilisation", report.get("inflight", report.get("queue", -2.0) + 1))
             s.load += (held - s.load) / 8 if s.load >= 0 else held + 1
         if outcome <= Outcome.MISS:
