--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -154,7 +154,7 @@
         self.ask_within, self.ask_backoff, self.nodes = d.ask_within_ms or 10000.0, 0.0, max(1, d.nodes)
         part = 1000.0 * self.nodes  # of a quota a second over all nodes, to this node's a millisecond
         self.shares = {c.name: Share(c.quota_per_s / part, now) for c in d.customers if c.quota_per_s > 0}
-        self.zone, self.origin_kind, self.cancelling, self.max_txs = d.zone, d.origin_kind, d.cancelling, d.max_transmissions
+        self.origin_kind, self.cancelling, self.max_txs = d.origin_kind, d.cancelling, d.max_transmissions
         self.copies, self.spare_copies = d.second_copies, 4.0
         self.nominal = dict[int, float]() if d.live_sizes else None  # the largest size seen of each kind
         self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
@@ -713,7 +713,7 @@
             for s in self._ready_from(b.point):
                 if s not in met:
                     drawn = crc32(b"%d/%d/" % (self.seed, b.point) + s.id.encode()) / 2**32
-                    met[s], room = drawn ** (1 / s.size) + (s.zone == self.zone and drawn > 0.5), room - s.size
+                    met[s], room = drawn ** (1 / s.size), room - s.size
                     if room <= 0:
                         break
             b.home = max(met, key=met.__getitem__)
@@ -725,7 +725,7 @@
         # cache of the first few along the ring, by its own draw: as many as hold the bucket's part of the load.
         b.seen, self.seen = b.seen + 1, self.seen + 1
         wide = SPREAD * self.size * (b.seen - 1) / max(self.seen, RECALL / 4)
-        if b.home and (wide > max(1.5 * b.wide, b.home.size) or wide < b.wide / 4):
+        if b.home and (wide > max(1.25 * b.wide, b.home.size) or wide < b.wide / 2):
             b.wide = wide
             self._home(b)
 
--- a/hookpitch/balancer/deployment.py
+++ b/hookpitch/balancer/deployment.py
@@ -102,7 +102,6 @@
         hold_cost=float(tariffs.get("connection") or 0.0),
         dial_cost=float(tariffs.get("handshake") or 0.0),
         overage_gain=float(top.get("overage_gain") or 0.0),
-        zone=str(top.get("az") or ""),
         live_sizes=top.get("weights") == "live",
         kinds=tuple(str(k) for k in top.get("host_types") or []),
         dial_timeout_ms=span(limits, "dial_timeout_s") or 250.0,
--- a/hookpitch/balancer/interface.py
+++ b/hookpitch/balancer/interface.py
@@ -118,7 +118,6 @@
     hold_cost: float  # points for a hundred connections held at each server, and
     dial_cost: float  # for a new connection with each RPC
     overage_gain: float  # the part of its gain that an RPC over its customer's share keeps
-    zone: str = ""  # the node's own
     live_sizes: bool = False  # listed sizes are cut by the load: nominal / (1 + RPCs held a core)
     kinds: tuple[str, ...] = ()  # names of the machine kinds, in the order of their numbers
     dial_timeout_ms: float = 250.0
