--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -725,7 +725,7 @@
         # cache of the first few along the ring, by its own draw: as many as hold the bucket's part of the load.
         b.seen, self.seen = b.seen + 1, self.seen + 1
         wide = SPREAD * self.size * (b.seen - 1) / max(self.seen, RECALL / 4)
-        if b.home and (wide > max(1.25 * b.wide, b.home.size) or wide < b.wide / 2):
+        if b.home and (wide > max(1.5 * b.wide, b.home.size) or wide < b.wide / 4):
             b.wide = wide
             self._home(b)
 
