Load where nothing is reported is what is held; overflow of heavy buckets is spread

To blame: `_chain`, which begins with the ring's order, and `_round`. Now a heavy bucket's chain begins with its caches in the node's own order, and c without reports is rate times answer time (a full answer counts as a soft deadline's). Copies go up to two fifths of the RPCs: a fifth of the boxes may be slow at once.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -20,7 +20,7 @@
 BUCKETS = 4096  # the unit moved; a hundred for each cache of a fleet of forty
 RING_POINTS = 150  # of a cache of mean size
 CHAIN = 8  # servers looked at along the ring
-COPIES = 0.2  # second copies for each RPC, at the most
+COPIES = 0.4  # second copies for each RPC, at the most
 SPREAD = 4.0  # a bucket that is more than its home's part of the fleet over this is spread over several
 RECALL = 256  # RPCs by which a node tells a bucket's part of its traffic
 ROUND_MS = 2500.0  # half the design page's starting value
@@ -308,7 +308,8 @@
         if outcome <= Outcome.MISS:
             self._answered(tx, took, outcome == Outcome.COMPLETED)
         elif outcome == Outcome.FULL:
-            s.answered_at, s.boost = now, 1.0
+            s.answered_at, s.boost, s.heard = now, 1.0, s.heard + 1
+            s.latency += (rpc.method.soft_ms - s.latency) * 0.1
             s.limit = max(s.least, min(s.limit, 0.8 * (len(s.live) + 1)) if s.live else s.limit / 2)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
             # Danger: a server that refuses after failures died and comes back cold, maybe unannounced. One
@@ -596,7 +597,8 @@
 
     def _chain(self, bucket: Bucket) -> list[Server]:
         if bucket.chain is None:
-            met = dict.fromkeys([bucket.at] if bucket.at else [])
+            # Danger: what a heavy bucket's caches turn away goes to the same next one from all nodes.
+            met = dict.fromkeys(([bucket.at] if bucket.at else []) + self._taking(bucket)[:CHAIN])
             for s in self._ready_from(bucket.point):
                 met[s] = None
                 if len(met) >= CHAIN:  # Danger: a walk around a large ring, for each bucket at each new list
@@ -707,19 +709,20 @@
         return bucket
 
     def _home(self, b: Bucket) -> None:
-        moved, b.chain, b.home = b.at is not b.home, None, next(self._ready_from(b.point), None)
-        if b.home and b.wide > b.home.size:
-            room, met = b.wide, dict[Server, float]()
-            for s in self._ready_from(b.point):
-                if s not in met:
-                    drawn = crc32(b"%d/%d/" % (self.seed, b.point) + s.id.encode()) / 2**32
-                    met[s], room = drawn ** (1 / s.size), room - s.size
-                    if room <= 0:
-                        break
-            b.home = max(met, key=met.__getitem__)
+        moved, b.chain, b.home = b.at is not b.home, None, next(iter(self._taking(b)), None)
         if not moved or b.at is None or b.at.state != State.READY:
             b.at = b.home
 
+    def _taking(self, b: Bucket) -> list[Server]:  # the caches that it is spread over, as this node prefers them
+        met, room = dict[Server, float](), b.wide
+        for s in self._ready_from(b.point):
+            if s not in met:
+                drawn = crc32(b"%d/%d/" % (self.seed, b.point) + s.id.encode()) / 2**32
+                met[s], room = drawn ** (1 / s.size), room - s.size
+                if room <= 0:
+                    break
+        return sorted(met, key=met.__getitem__, reverse=True)
+
     def _heavy(self, b: Bucket) -> None:
         # Danger: one key is more than its cache can do, and no move of whole buckets helps. Each node takes one
         # cache of the first few along the ring, by its own draw: as many as hold the bucket's part of the load.
@@ -783,7 +786,7 @@
             return
         for s in caches:
             # Danger: an overloaded cache is sent little, its limit being low; the rate calls it light.
-            s.c = (s.load + len(s.first) if s.load >= 0 else s.rate) / s.size
+            s.c = (s.load + len(s.first) if s.load >= 0 else s.rate * s.latency) / s.size
             s.m = float(sum(b.keys for b in held[s]))
         mean_c, mean_m = sum(s.c for s in caches) / len(caches), sum(s.m for s in caches) / len(caches)
         loads: dict[Server, list[Load]] = {}
