--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -310,6 +310,9 @@
         elif outcome == Outcome.FULL:
             s.answered_at, s.boost, s.heard = now, 1.0, s.heard + 1
             s.latency += (rpc.method.soft_ms - s.latency) * 0.1
+            b = rpc.bucket
+            if b.at is s and (to := next((c for c in self._chain(b) if c.ok and c is not s), None)):
+                b.at, b.chain = to, None
             s.limit = max(s.least, min(s.limit, 0.8 * (len(s.live) + 1)) if s.live else s.limit / 2)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
             # Danger: a server that refuses after failures died and comes back cold, maybe unannounced. One
