--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -310,7 +310,9 @@
         elif outcome == Outcome.FULL:
             s.answered_at, s.boost, s.heard = now, 1.0, s.heard + 1
             s.latency += (rpc.method.soft_ms - s.latency) * 0.1
-            self._move_on(rpc.bucket, s)
+            b = rpc.bucket
+            if b.at is s and (to := next((c for c in self._chain(b) if c.ok and c is not s), None)):
+                b.at, b.chain = to, None
             s.limit = max(s.least, min(s.limit, 0.8 * (len(s.live) + 1)) if s.live else s.limit / 2)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
             # Danger: a server that refuses after failures died and comes back cold, maybe unannounced. One
@@ -654,17 +656,11 @@
         if rpc.closed or tx.slow or len(rpc.txs) >= self.max_txs or kind == Idempotency.NON_RETRIABLE:
             return
         if self.copies and not tx.begun:  # Danger: called off, what is only slow has run for nothing
-            if tx.server.latency > 2 * self.work / tx.server.size:
-                self._move_on(rpc.bucket, tx.server)
             tx.slow, rpc.slow = True, rpc.slow + 1
             self.todo.append(rpc)
         else:
             self.retract.append(tx)
 
-    def _move_on(self, b: Bucket, s: Server) -> None:  # from a cache that cannot do it, along its chain
-        if b.at is s and (to := next((c for c in self._chain(b) if c.ok and c is not s), None)):
-            b.at, b.chain = to, None
-
     def _leave(self, s: Server, dead: bool) -> None:  # its line, and all that is out, is decided anew
         for tx in s.live if dead else ():
             self._abandon(tx)
