--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -466,7 +466,7 @@
             return False  # what is still out may answer
         if rpc.lost or tries >= self.max_txs or rpc.until - now <= self.margin:
             return self._give_up(rpc, host)
-        if self.origin_kind >= 0 and (rpc.write or rpc.missed or rpc.slow and not rpc.bucket.wide or (tries and tries == self.max_txs - 1)):
+        if self.origin_kind >= 0 and (rpc.write or rpc.missed or rpc.slow or (tries and tries == self.max_txs - 1)):
             return self._offer(rpc, self.origin, host)
         s = rpc.bucket.at
         if tries or s is None or not s.ok or not self._room(s):
