--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -21,7 +21,7 @@
 RING_POINTS = 150  # of a cache of mean size
 CHAIN = 8  # servers looked at along the ring
 COPIES = 0.4  # second copies for each RPC, at the most
-SPREAD = 4.0  # a bucket that is more than its home's part of the fleet over this is spread over several
+SPREAD = 3.0  # a bucket that is more than its home's part of the fleet over this is spread over several
 RECALL = 256  # RPCs by which a node tells a bucket's part of its traffic
 ROUND_MS = 2500.0  # half the design page's starting value
 DEAD_BAND = 1.5  # a round acts only when the heaviest is this many times the mean
@@ -450,7 +450,7 @@
                 if s.answered_at < tx.sent >= s.struck_at:
                     self._strike(s)
                 calm = lost and self.pressure < SHED_FROM / 2
-                ease = self.origin is None or self.origin.latency < TARGET / 2 * rpc.method.soft_ms
+                ease = self.origin is None or self.origin.latency < rpc.method.soft_ms / 3
                 if self.spare_copies >= 1 and ease if self.copies else calm if s.answered_at > tx.sent else s.failures > 1:
                     self.spare_copies -= self.copies
                     self._abandon(tx)
