--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -628,7 +628,7 @@
         slow, eased = TARGET * tx.rpc.method.soft_ms, s is self.origin and self.pressure < SHED_FROM / 2
         # Danger: with most caches cold, an even part is little, and RPCs are turned away before idle caches.
         s.boost = min(self.boost_most, s.boost * 1.1) if took < slow / 2 else 1.0
-        if took > slow and s.latency > (slow if eased else slow / 2):
+        if took > slow and not (eased and s.latency <= slow):
             s.limit, s.growth = max(s.least, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
             s.limit += (1.0 if eased else s.growth) * min(s.limit, 1 / s.limit)
