The origin's limit falls only where its mean answer is slow, too

To blame: `_answered`, which cut the origin's limit by each answer over half of the soft deadline unless less than a tenth was turned away, and its work varies: the limit stood at 5 a node, so more was turned away, so the exception never held. Now it falls only where its mean is over 0.35 of the soft deadline, whatever the pressure, and it grows by whole steps.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -624,14 +624,14 @@
             s.latency += (took - s.latency) * (0.1 if s.latency else 1.0)
             if s is not self.origin:
                 self.work += (took * s.size - self.work) * (0.02 if self.work else 1.0)
-        # Danger: work that varies is no congestion. While caches keep up, the origin's mean must be slow.
-        slow, eased = TARGET * tx.rpc.method.soft_ms, s is self.origin and self.pressure < SHED_FROM / 2
+        # Danger: work that varies is no congestion: the origin's mean must be slow, too.
+        slow, mixed = TARGET * tx.rpc.method.soft_ms, s is self.origin
         # Danger: with most caches cold, an even part is little, and RPCs are turned away before idle caches.
         s.boost = min(self.boost_most, s.boost * 1.1) if took < slow / 2 else 1.0
-        if took > slow and not (eased and s.latency <= slow):
+        if took > slow and not (mixed and s.latency <= 0.7 * slow):
             s.limit, s.growth = max(s.least, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
-            s.limit += (1.0 if eased else s.growth) * min(s.limit, 1 / s.limit)
+            s.limit += (1.0 if mixed else s.growth) * min(s.limit, 1 / s.limit)
 
     def _strike(self, s: Server) -> None:
         if s is self.origin:  # there is no other: it is asked less, never left
