Copies at a server that has left the path are called off; a stream ends the others

A copy that was only slow stayed out at a server found dead, so its RPC waited for it; and two copies of one RPC could both begin to stream.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -341,8 +341,11 @@
         self.now = now
         rpc = self.rpcs.get(id)
         if rpc is not None and 0 <= n < len(rpc.txs) and not rpc.txs[n].done:
-            rpc.txs[n].counted = rpc.txs[n].begun = True
-            self._answered(rpc.txs[n], now - rpc.txs[n].sent, False)
+            tx = rpc.txs[n]
+            tx.counted = tx.begun = True
+            rpc.line, rpc.slow, tx.slow = 0.0, rpc.slow - tx.slow, False
+            self.retract.extend(copy for copy in rpc.txs if not copy.done and copy is not tx)
+            self._answered(tx, now - tx.sent, False)
 
     def client_left(self, now: float, id: str) -> None:
         self.now = now
@@ -653,9 +656,9 @@
 
     def _abandon(self, tx: Tx) -> None:  # call it off where another server may still answer in time
         rpc, kind = tx.rpc, tx.rpc.method.idempotency
-        if rpc.closed or tx.slow or len(rpc.txs) >= self.max_txs or kind == Idempotency.NON_RETRIABLE:
+        if rpc.closed or len(rpc.txs) >= self.max_txs or kind == Idempotency.NON_RETRIABLE:
             return
-        if self.copies and not tx.begun:  # Danger: called off, what is only slow has run for nothing
+        if self.copies and not tx.slow:  # Danger: called off, what is only slow has run for nothing
             tx.slow, rpc.slow = True, rpc.slow + 1
             self.todo.append(rpc)
         else:
