--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -1,8 +1,6 @@
 """Every decision of one node: keys hash into buckets, buckets are homed on a ring, rounds move them.
 
-How to call it: make a `Node`, tell it what happens (`servers_listed`, `rpc_arrived`, `tx_ended`, ...; all
-of interface.py), then call `decide(now, host)` until it returns False. The reasons stand in docs/design.md.
-"""
+Tell a `Node` what happens, then call `decide(now, host)` until it returns False. Reasons: docs/design.md."""
 
 from __future__ import annotations
 
@@ -20,7 +18,6 @@
 BUCKETS = 4096  # the unit moved; a hundred for each cache of a fleet of forty
 RING_POINTS = 150  # of a cache of mean size
 CHAIN = 8  # servers looked at along the ring
-COPIES = 0.4  # second copies for each RPC, at the most
 SPREAD = 3.0  # a bucket that is more than its home's part of the fleet over this is spread over several
 RECALL = 256  # RPCs by which a node tells a bucket's part of its traffic
 ROUND_MS = 2500.0  # half the design page's starting value
@@ -31,6 +28,7 @@
 KEYS_KEPT = 16 * BUCKETS  # a generation of distinct keys ends when it holds this many,
 AGE = 12  # or after this many rounds
 PATIENCE = 0.4  # of the soft deadline: no word at all from a server for this long counts against it
+COPY_BY = 0.65  # of the soft deadline: a second copy goes out by then, where copies are allowed
 TARGET = 0.5  # of the soft deadline: answers slower than this shrink the server's limit
 WAIT = 0.3  # of what is left: the longest stay in a line
 START_LIMIT = 2.0  # transmissions out at a server we know nothing of, or that is back on the path
@@ -54,7 +52,7 @@
         self.answered_at = self.struck_at = self.rest_until = self.started = self.cold_until = -FAR
         self.tokens, self.refilled, self.boost = 0.0, 0.0, 1.0  # for its time as a cold server
         self.open, self.last, self.sent, self.rate = False, -FAR, 0, 0.0  # a connection; the latest send
-        self.load = -1.0  # as reported, averaged; -1 where it is not
+        self.load = -1.0  # as told; -1 where it is not
         self.first, self.again = list[Place](), list[Place]()  # lines; further transmissions have their own
         self.c, self.m, self.points, self.heard = 0.0, 0.0, 0, 0  # the mechanism's loads; points on the ring
         self.ok = False  # ready, on the path and warm: the ordinary path asks no more than this
@@ -73,7 +71,7 @@
 class Tx:
     def __init__(self, rpc: Rpc, server: Server, n: int, sent: float) -> None:
         self.rpc, self.server, self.n, self.sent = rpc, server, n, sent
-        self.done = self.counted = self.begun = self.spoilt = self.slow = False  # spoilt: its answer could not be read
+        self.done = self.counted = self.begun = self.slow = self.spoilt = False  # slow: one more may go out
         self.ran = True  # it may have, until proven otherwise
 
 
@@ -81,10 +79,9 @@
     def __init__(self, n: int, id: str, key: str, bucket: Bucket, method: Method, write: bool) -> None:
         self.n, self.id, self.key, self.bucket, self.method, self.write = n, id, key, bucket, method, write
         self.until = self.aim = self.line = 0.0  # line: when its stay in one is over; 0 when in none
-        self.share: Share | None = None  # whose token it holds until it is completed
+        self.queued: Server | None = None  # in whose
         self.over = self.missed = self.closed = self.lost = False
         self.txs, self.live, self.slow = list[Tx](), 0, 0  # out; of these: silent, and another may be sent
-        self.queued: Server | None = None  # in whose line
 
 
 class Share:  # a customer's share at this node, as tokens
@@ -96,11 +93,6 @@
         self.tokens, self.at = min(self.most, self.tokens + (now - self.at) * self.rate), now
         return self.tokens < 1
 
-    def over(self, now: float) -> bool:
-        over = self.spent(now)
-        self.tokens -= not over
-        return over
-
 
 Load = tuple[float, float, Bucket]  # (v, w) of a bucket
 
@@ -150,49 +142,56 @@
 
 class Node:  # one instance: it shares nothing with any other
     def __init__(self, now: float, d: Deployment) -> None:
-        self.now, self.seed, self.draws, self.methods = now, d.seed, 0, {m.name: m for m in d.methods}
-        self.ask_within, self.ask_backoff, self.nodes = d.ask_within_ms or 10000.0, 0.0, max(1, d.nodes)
-        part = 1000.0 * self.nodes  # of a quota a second over all nodes, to this node's a millisecond
-        self.shares = {c.name: Share(c.quota_per_s / part, now) for c in d.customers if c.quota_per_s > 0}
-        self.origin_kind, self.cancelling, self.max_txs = d.origin_kind, d.cancelling, d.max_transmissions
-        self.copies, self.spare_copies = d.second_copies, 4.0
-        self.nominal = dict[int, float]() if d.live_sizes else None  # the largest size seen of each kind
-        self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
-        self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
-        self.part = 1.0  # of the node's place, while another process beside this one has the rest
-        self.boost_most = max(1.0, d.overload_factor / 1.5)  # times a cold server's even part
-        self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
-        # Danger: hundreds of nodes that start together ask discovery at once; it turns nearly all away.
-        self.ask_at = now + self.ask_within / 2 * (1 - 1 / self.nodes) * self._chance() if d.must_ask else FAR
-        self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
+        self.now, self.seed, self.draws, self.part = now, d.seed, 0, 1.0  # part: another process has the rest
+        self.shares, self.mix, self.kinds = dict[str, Share](), dict[str, float](), d.kinds
         self.servers, self.rpcs, self.bans = dict[str, Server](), dict[str, Rpc](), dict[str, None]()
-        self.work = 0.0  # usual time of an answer from a cache of size one, in ms
         self.origin, self.ring = None, array("Q")  # a point, and in sixteen bits a cache's place in `caches`
         self.buckets, self.caches = dict[int, Bucket](), list[Server]()  # asked for so far; all on the ring
-        self.seen, self.size = 0.0, 1.0  # RPCs of the buckets' `seen`; sizes of all caches on the ring
+        # RPCs of the buckets' `seen`; sizes of all caches; the usual time of an answer by one of size one
+        self.seen, self.size, self.work = 0.0, 1.0, 0.0
         self.closing, self.freed = deque[Server](), deque[Server]()
+        self.todo, self.retract, self.news = deque[Rpc](), deque[Tx](), deque[str](maxlen=8)
         self.young, self.old = dict[str, None](), dict[str, None]()  # keys asked for, in two generations
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
         self.armed, self.aged_at, self.points_per_size, self.beat_at, self.warm_rate = FAR, now, 0.0, now, 0.0
         self.asked, self.turned, self.pressure, self.shed = 1, 0, 0.0, 0.0  # shed: turned away at the door
-        gains, n = sorted(m.gain for m in d.methods), len(d.methods)
-        self.bands = {m.name: (gains.index(m.gain) / n, gains.count(m.gain) / n) for m in d.methods}
-        # Of the node: the part of what comes in that it cannot do, how late it reads, when it was away.
-        self.burden, self.lag, self.away_at, self.mix = 0.0, 0.0, -FAR, {m.name: 0.0 for m in d.methods}
-        self.parts = self.bands  # as bands, each as wide as its methods' part of what comes in
-        self.spare = self.overage_gain = d.overage_gain  # spare: the part let in of what is over a share
+        self.burden, self.lag, self.away_at, self.ask_backoff = 0.0, 0.0, -FAR, 0.0  # the node's own
+        self.reconfigured(now, d)
+        # Danger: hundreds of nodes that start together ask discovery at once; it turns nearly all away.
+        self.ask_at = now + self.ask_within / 2 * (1 - 1 / self.nodes) * self._chance() if d.must_ask else FAR
         self.next_beat, self.next_round = now + self.window, now + ROUND_MS * (1 + self._chance())
-        self.todo, self.retract, self.news = deque[Rpc](), deque[Tx](), deque[str]()
+
+    def reconfigured(self, now: float, d: Deployment) -> None:
+        """New settings. RPCs in flight keep their method; what is known of servers and shares stays."""
+        self.now, self.methods, self.nodes = now, {m.name: m for m in d.methods}, max(1, d.nodes)
+        self.ask_within, self.max_txs = d.ask_within_ms or 10000.0, d.max_transmissions
+        self.cancelling, self.copies, self.customers = d.cancelling, d.second_copies, d.customers
+        self.shared_by(now, 1 / self.part)
+        for rpc in self.rpcs.values() if not d.second_copies else ():  # where they were allowed until now
+            self.retract.extend(tx for tx in rpc.txs if tx.slow and not tx.done)
+        self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
+        self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
+        self.boost_most, self.overage_gain = max(1.0, d.overload_factor / 1.5), d.overage_gain
+        self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
+        self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
+        self.parts = self.bands = self._bands(dict.fromkeys(self.methods, 1.0))  # parts: as they come in
+        self.mix = {name: self.mix.get(name, 0.0) for name in self.methods}
+        before, self.kinds, self.origin_kind = self.kinds, d.kinds, d.origin_kind
+        self.nominal = dict[int, float]() if d.live_sizes else None  # sizes move with load: a kind's largest
+        for s in self.servers.values():
+            name = before[s.kind] if 0 <= s.kind < len(before) else ""
+            s.kind, s.load = d.kinds.index(name) if name in d.kinds else -2, -1.0
+            if d.live_sizes:
+                self.nominal[s.kind] = max(s.size, self.nominal.get(s.kind, 0.0))
 
     # ---- inputs: they update what is known, nothing else
 
     def servers_listed(self, now: float, kind: ListKind, entries: list[Entry]) -> None:
         self.now = now
-        if kind == ListKind.FAILED:
-            # Danger: a lost watch never renewed leaves sends to servers long gone.
+        if kind == ListKind.FAILED:  # Danger: a lost watch never renewed leaves sends to servers long gone.
             self.ask_backoff = min(self.ask_within / 4, max(self.ask_within / 20, 2 * self.ask_backoff))
             self.ask_at = now + self.ask_backoff * (0.5 + self._chance())
-            return self._tell("discovery lost, asking again")
+            return self.news.append("discovery lost, asking again")
         if kind != ListKind.CACHED and self.ask_at < FAR:
             self.ask_backoff, self.ask_at = 0.0, FAR
         listed, changed, resized = {e.id for e in entries}, False, list[Server]()
@@ -201,13 +200,12 @@
             started = e.started_ms if e.started_ms > 0 else -FAR
             if e.state == State.READY and started > s.started:
                 self._leave(s, True)
-                s.started, s.failures, s.off, s.answered_at = started, 0, False, -FAR
-                s.limit = min(s.limit, START_LIMIT)
+                s.started, s.failures, s.off = started, 0, False
+                s.answered_at, s.limit = -FAR, min(s.limit, START_LIMIT)
                 self._cool(s, started)
             changed |= s.listed != e.state
             size = max(e.size, 1e-3)
-            if self.nominal is not None:
-                # Danger: sizes that move with load move the ring at every list, and every key with it.
+            if self.nominal is not None:  # Danger: sizes that move with load move the ring at every list.
                 full = self.nominal[e.kind] = max(size, self.nominal.get(e.kind, 0.0))
                 s.load, size = (full / size - 1) * full, full
             if e.state == State.READY and (not s.points or s.size != size):
@@ -225,39 +223,25 @@
 
     def server_banned(self, now: float, id: str, banned: bool) -> None:
         """An operator leaves a server out, or takes it back; whatever any list says until then."""
-        self.now, s = now, self.servers.get(id)
-        if banned == (id in self.bans):
-            return
-        if banned:
-            self.bans[id] = None
-        else:
-            del self.bans[id]
-        if s is None:
+        self.now, s, before = now, self.servers.get(id), id in self.bans
+        self.bans = {b: None for b in self.bans if b != id} | ({id: None} if banned else {})
+        if s is None or banned == before:
             return
-        if not banned:
-            # Danger: what was restarted while out is cold, whenever a list tells of it; and strikes from
-            # before would keep it waiting for its first RPC.
+        if not banned:  # Danger: what was restarted while out is cold; old strikes would keep it waiting.
             s.failures, s.off, s.backoff, s.limit = 0, False, 0.0, min(s.limit, START_LIMIT)
             self._cool(s, now)
         self._state(s, s.listed)
         self._rebuild([] if s.points or s.state != State.READY else [s])
 
-    def shared_by(self, now: float, processes: int) -> None:
+    def shared_by(self, now: float, processes: float) -> None:
         """So many processes are this one node for now: budgets of cold servers and quotas are the node's."""
-        self.now, before, self.part = now, self.part, 1 / processes
-        for share in self.shares.values():
-            share.spent(now)
-            share.rate *= self.part / before
-
-    def bannable(self, id: str) -> bool:
-        """Whether an operator may name it: a listed cache server, or one that is out by hand already."""
-        s = self.servers.get(id)
-        return id in self.bans or (s is not None and s.listed != State.GONE and s.kind != self.origin_kind)
-
-    def members(self) -> tuple[int, int]:
-        """Cache servers in the list, and those of them that are avoided now, by hand or by choice."""
-        listed = [s for s in self.servers.values() if s.listed != State.GONE and s.kind != self.origin_kind]
-        return len(listed), sum(s.state != State.READY or s.off for s in listed)
+        self.now, self.part, before = now, 1 / processes, self.shares
+        rate = self.part / 1000 / self.nodes  # of a quota a second over all nodes, to this one's a ms
+        self.shares = {c.name: Share(c.quota_per_s * rate, now) for c in self.customers if c.quota_per_s > 0}
+        for name, share in self.shares.items():
+            if name in before:
+                before[name].spent(now)
+                share.tokens = min(share.most, before[name].tokens)
 
     def rpc_arrived(self, now: float, id: str, key: str, method: str, customer: str, write: bool,
                     grace: float, age: float = 0.0) -> None:  # fmt: skip
@@ -275,15 +259,15 @@
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
         # Danger: what stood unread here has that much less time; `grace` counts from when it came.
         rpc.until, rpc.aim = now + useful - age - self.margin, now + m.soft_ms - age - self.margin
-        share = self.shares.get(customer)
-        # Danger: RPCs over a share in the way of those within; fewer are let in while these are turned away.
-        rpc.over = share is not None and share.over(now)
-        rpc.share, rpc.lost = None if rpc.over else share, rpc.over and self._chance() >= self.spare
+        share = self.shares.get(customer)  # Danger: RPCs over a share in the way of those within.
+        rpc.over = share is not None and share.spent(now)
+        if share and not rpc.over:
+            share.tokens -= 1
+        rpc.lost = rpc.over and self._chance() >= self.overage_gain
         low, width = self.bands.get(method, (0.0, 1.0))  # among the methods, by gain
         if self.shed > 0 and share is None and low + width * self._chance() < self.shed:
             rpc.lost = rpc.over = True
         self.asked, self.rpcs[id] = self.asked + (not rpc.over), rpc
-        self.spare_copies = min(16.0, self.spare_copies + COPIES)
         self.todo.append(rpc)
 
     def tx_ended(self, now: float, id: str, n: int, outcome: Outcome, last: bool, took: float,
@@ -297,7 +281,6 @@
         tx.spoilt = outcome in ONE_OFF or (outcome == Outcome.CANCELLED and s.answered_at > tx.sent)
         rpc.live, rpc.slow = rpc.live - 1, rpc.slow - tx.slow
         s.live.pop(tx, None)
-        # Danger: hundreds of nodes, none of which ever fills a server, crowd it with what is over shares.
         answered = outcome <= Outcome.MISS or outcome == Outcome.TIMEOUT
         away = tx.sent < self.away_at  # Danger: the node's own pause taken for its servers' fault
         late = now - self.lag >= rpc.aim and not away and not tx.begun
@@ -310,13 +293,8 @@
         elif outcome == Outcome.FULL:
             s.answered_at, s.boost, s.heard = now, 1.0, s.heard + 1
             s.latency += (rpc.method.soft_ms - s.latency) * 0.1
-            b = rpc.bucket
-            if b.at is s and (to := next((c for c in self._chain(b) if c.ok and c is not s), None)):
-                b.at, b.chain = to, None
-            s.limit = max(s.least, min(s.limit, 0.8 * (len(s.live) + 1)) if s.live else s.limit / 2)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
-            # Danger: a server that refuses after failures died and comes back cold, maybe unannounced. One
-            # reset or refusal tells of a connection or a full table, most servers' of our own network.
+            # Danger: a server that refuses after failures died and comes back cold, maybe unannounced.
             died = s.failures > 1 and 2 * sum(c.failures > 0 for c in self.caches) <= len(self.caches)
             if outcome == Outcome.CONNECT_FAILED and died and s.started < tx.sent:
                 self._cool(s, now)
@@ -342,8 +320,7 @@
         rpc = self.rpcs.get(id)
         if rpc is not None and 0 <= n < len(rpc.txs) and not rpc.txs[n].done:
             tx = rpc.txs[n]
-            tx.counted = tx.begun = True
-            rpc.line, rpc.slow, tx.slow = 0.0, rpc.slow - tx.slow, False
+            tx.counted, tx.begun, tx.slow, rpc.slow, rpc.line = True, True, False, rpc.slow - tx.slow, 0.0
             self.retract.extend(copy for copy in rpc.txs if not copy.done and copy is not tx)
             self._answered(tx, now - tx.sent, False)
 
@@ -351,27 +328,27 @@
         self.now = now
         rpc = self.rpcs.get(id)
         if rpc is not None and not rpc.closed:
-            self.retract.extend(tx for tx in rpc.txs if not tx.done)
             self._close(rpc)
 
     def woken(self, now: float) -> None:
         self.now = now  # the time asked for by `wake` has come
 
     def burdened(self, now: float, burden: float, lag: float = 0.0) -> None:
-        """Of a short window that has ended: the part of what came in that the node itself cannot do, and for
-        how many ms what came in stood unread."""
+        """Of a window: the part of what came in that the node cannot do; how many ms it stood unread."""
         self.now, self.burden, self.lag = now, burden, lag
-        total = sum(self.mix.values())
-        if burden > 0 and total > 0:
-            at, self.parts = 0.0, {}
-            for gain in sorted({m.gain for m in self.methods.values()}):
-                alike = [m.name for m in self.methods.values() if m.gain == gain]
-                width = sum(self.mix[name] for name in alike) / total
-                self.parts |= dict.fromkeys(alike, (at, width))
-                at += width
+        if burden > 0 and any(self.mix.values()):
+            self.parts = self._bands(self.mix)
         for name in self.mix:
             self.mix[name] *= 0.9
 
+    def _bands(self, mix: dict[str, float]) -> dict[str, tuple[float, float]]:
+        at, bands, gains = 0.0, dict[str, tuple[float, float]](), {m.gain for m in self.methods.values()}
+        for gain in sorted(gains):  # of methods that gain alike: where they begin among all, how wide
+            alike = [name for name in mix if self.methods[name].gain == gain]
+            width = sum(mix[name] for name in alike) / sum(mix.values())
+            bands, at = bands | dict.fromkeys(alike, (at, width)), at + width
+        return bands
+
     def was_away(self, now: float) -> None:
         """The node itself did nothing for a while: what was out then tells nothing of its servers."""
         self.now = self.away_at = now
@@ -385,8 +362,7 @@
         if self.burden <= 0:
             return -1.0
         share, (low, width) = self.shares.get(customer), self.parts[method]
-        # Danger: what is over a share in the place of what is within. Of the rest the least gain goes first,
-        # and what has waited too long for its soft deadline is of no use.
+        # Danger: what is over a share, gains least or is too late already, in the place of the rest.
         spent = (share and share.spent(now)) or (m.late_gain <= 0 and age > (1 - WAIT) * m.soft_ms)
         if not spent and low + width * self._chance() >= self.burden:
             return -1.0
@@ -407,7 +383,7 @@
             return True
         while self.todo:
             rpc = self.todo.popleft()
-            if not rpc.closed and not rpc.line and rpc.live == rpc.slow and self._route(rpc, host):
+            if not (rpc.closed or rpc.line or rpc.live > rpc.slow * self.copies) and self._route(rpc, host):
                 return True
         while self.freed:
             s = self.freed[0]
@@ -446,16 +422,14 @@
                 if not tx.done:  # Danger: an answer that stands unread here taken for its server's silence
                     heapq.heappush(self.wakes, (anew, self._count(), rpc, tx))
             elif not (tx.done or tx.counted or tx.server is self.origin and tx.server.answered_at < tx.sent):
-                # Danger: a server that takes work and answers none looks idle. Silence since the send counts;
-                # but the origin's work varies, and a busy server is late with all: one strike tells of them.
-                # And one answer lost on its way holds its RPC to the end, though the server answers others.
+                # Danger: a server that takes work and answers none looks idle. Silence since the send counts,
+                # once for all that are out. And one answer lost on its way holds its RPC to the end.
                 s, lost, tx.counted = tx.server, not any(t.counted for t in rpc.txs), True
                 if s.answered_at < tx.sent >= s.struck_at:
                     self._strike(s)
                 calm = lost and self.pressure < SHED_FROM / 2
-                ease = self.origin is None or self.origin.latency < rpc.method.soft_ms / 3
-                if self.spare_copies >= 1 and ease if self.copies else calm if s.answered_at > tx.sent else s.failures > 1:
-                    self.spare_copies -= self.copies
+                ease = self.origin.latency < rpc.method.soft_ms / 3 if self.origin else calm  # or it stops
+                if ease if self.copies else calm if s.answered_at > tx.sent else s.failures > 1:
                     self._abandon(tx)
         if now >= self.next_beat:
             self._beat()
@@ -465,11 +439,9 @@
 
     def _route(self, rpc: Rpc, host: Host) -> bool:  # True where the host was told something
         now, tries = self.now, len(rpc.txs)
-        if rpc.live and (tries >= self.max_txs or rpc.until - now <= self.margin):
-            return False  # what is still out may answer
         if rpc.lost or tries >= self.max_txs or rpc.until - now <= self.margin:
             return self._give_up(rpc, host)
-        if self.origin_kind >= 0 and (rpc.write or rpc.missed or rpc.slow or (tries and tries == self.max_txs - 1)):
+        if self.origin_kind >= 0 and (rpc.write or rpc.missed or rpc.slow or 0 < tries == self.max_txs - 1):
             return self._offer(rpc, self.origin, host)
         s = rpc.bucket.at
         if tries or s is None or not s.ok or not self._room(s):
@@ -490,8 +462,7 @@
         for at in (rpc.line, max(s.rest_until, self.now)):
             heapq.heappush(self.wakes, (at, self._count(), rpc, None))
         room = max(1.0, s.limit * WAIT * rpc.method.soft_ms / max(s.latency, 1.0))
-        if len(s.first) + len(s.again) > room:
-            # Danger: a line longer than can be served in time makes everyone late; its last goes at once.
+        if len(s.first) + len(s.again) > room:  # Danger: a long line makes everyone late; its last goes.
             line = s.again or s.first
             worst = max(line)
             line.remove(worst)
@@ -516,11 +487,10 @@
         rpc.txs.append(tx)
         s.live[tx] = None
         s.sent, s.open, s.last, s.tokens = s.sent + 1, True, now, s.tokens - (now < s.cold_until)
-        # Danger: a server known to be slow is waited for until nothing else is in time.
-        soft, usual = rpc.method.soft_ms, 2 * self.work / s.size if self.copies else 4 * s.latency
-        sick = s.failures or s.latency > usual
-        patience = max(PATIENCE * soft, (0 if sick else min(usual, 0.65 * soft)) if self.copies else usual)
-        heapq.heappush(self.wakes, (now + patience, self._count(), rpc, tx))
+        soft = rpc.method.soft_ms  # Danger: a server that fails or is slow is waited for to the end.
+        usual = min(2 * self.work / s.size, COPY_BY * soft) if self.copies else 4 * s.latency
+        usual *= not (self.copies and s.failures)
+        heapq.heappush(self.wakes, (now + max(PATIENCE * soft, usual), self._count(), rpc, tx))
         host.send(rpc.id, s.id, rpc.until - now)
 
     def _may_send(self, rpc: Rpc, s: Server) -> bool:  # rule 2, for a further transmission
@@ -534,7 +504,7 @@
         return kind == Idempotency.DEDUPED and alike and remembered
 
     def _give_up(self, rpc: Rpc, host: Host) -> bool:
-        if rpc.live:
+        if rpc.live:  # what is still out may answer
             rpc.lost = False
             return False
         m = rpc.method
@@ -552,25 +522,20 @@
 
     def _close(self, rpc: Rpc) -> None:
         rpc.closed, rpc.line = True, 0.0
-        # Danger: a client's tries for one RPC use up its customer's share, though no server worked on it.
-        if rpc.share and not any(tx.ran for tx in rpc.txs):
-            rpc.share.tokens += 1
         if not rpc.live:
             self.rpcs.pop(rpc.id, None)
-        elif self.copies:
-            self.retract.extend(tx for tx in rpc.txs if not tx.done)
+        self.retract.extend(tx for tx in rpc.txs if not tx.done)
 
     # ---- off the ordinary path: along the ring
 
     def _along(self, rpc: Rpc) -> Server | None:  # the first fit server; else one whose line to stand in
         now, busy = self.now, None
-        crowded = self._crowded()
+        crowded = self.origin and (self.origin.again or 2 * len(self.origin.live) >= self.origin.limit)
         for s in self._chain(rpc.bucket):
             tried = any(tx.server is s and not tx.spoilt for tx in rpc.txs) or not self._may_send(rpc, s)
             if s.state != State.READY or tried or (now < s.cold_until and not self._cold_room(s)):
                 continue
-            if s.off:
-                # Danger: a server shut out for good. After its pause it is tried with one RPC at a time.
+            if s.off:  # Danger: shut out for good. After its pause it is tried with one RPC at a time.
                 if now < s.off_until or s.live or rpc.over:
                     continue
                 s.off_until = now + s.backoff
@@ -580,10 +545,6 @@
             busy = busy or s
         return busy
 
-    def _crowded(self) -> bool:  # the origin
-        s = self.origin
-        return s is not None and (bool(s.again) or 2 * len(s.live) >= s.limit)
-
     def _eased(self, s: Server, m: Method) -> bool:  # it takes what it is sent, at once, and could take more
         return s.ok and max(START_LIMIT, 2 * len(s.live)) < s.limit and s.latency < TARGET * m.soft_ms / 2
 
@@ -593,8 +554,7 @@
         return free and (self.now >= s.cold_until or self._cold_room(s))
 
     def _cold_room(self, s: Server) -> bool:
-        # Danger: rule 4; one RPC from each of hundreds of nodes pushes a cold server over, too. It gets, as
-        # tokens, what a warm one gets from this node, cut by the slowest warm-up, the first at a drawn time.
+        # Danger: rule 4, by the sum of nodes. It gets, as tokens, a warm one's part, cut by its warm-up.
         grown = max(0.0, 1 - (s.cold_until - self.now) / self.cold_ms) if self.cold_ms else 1.0
         share = self.cold_share + (1 - self.cold_share) * grown
         gain = (self.now - s.refilled) * self.part * share * s.boost * self.warm_rate * s.size / 1000
@@ -602,8 +562,7 @@
         return s.tokens >= 1
 
     def _chain(self, bucket: Bucket) -> list[Server]:
-        if bucket.chain is None:
-            # Danger: what a heavy bucket's caches turn away goes to the same next one from all nodes.
+        if bucket.chain is None:  # Danger: what is turned away goes to the same next one from all nodes.
             met = dict.fromkeys(([bucket.at] if bucket.at else []) + self._taking(bucket)[:CHAIN])
             for s in self._ready_from(bucket.point):
                 met[s] = None
@@ -621,20 +580,19 @@
             took, full_work = min(took, s.latency), False
         if s.off:
             s.off, s.backoff, s.limit = False, 0.0, min(s.limit, START_LIMIT)
-            self._tell(f"{s.id} back on the path")
+            self.news.append(f"{s.id} back on the path")
         s.ok = s.state == State.READY and self.now >= s.cold_until
         if full_work:
             s.latency += (took - s.latency) * (0.1 if s.latency else 1.0)
             if s is not self.origin:
                 self.work += (took * s.size - self.work) * (0.02 if self.work else 1.0)
-        # Danger: work that varies is no congestion: the origin's mean must be slow, too.
-        slow, mixed = TARGET * tx.rpc.method.soft_ms, s is self.origin
+        slow = TARGET * tx.rpc.method.soft_ms  # Danger: work at the origin that varies, taken for congestion.
         # Danger: with most caches cold, an even part is little, and RPCs are turned away before idle caches.
         s.boost = min(self.boost_most, s.boost * 1.1) if took < slow / 2 else 1.0
-        if took > slow and not (mixed and s.latency <= 0.7 * slow):
+        if took > slow and not (s is self.origin and s.latency <= 0.7 * slow):
             s.limit, s.growth = max(s.least, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
-            s.limit += (1.0 if mixed else s.growth) * min(s.limit, 1 / s.limit)
+            s.limit += (1.0 if s is self.origin else s.growth) * min(s.limit, 1 / s.limit)
 
     def _strike(self, s: Server) -> None:
         if s is self.origin:  # there is no other: it is asked less, never left
@@ -643,7 +601,7 @@
         s.failures, s.struck_at = s.failures + 1, self.now
         if s.failures >= STRIKES and (not s.off or self.now >= s.off_until):
             if not s.off:
-                self._tell(f"{s.id} off the path after {s.failures} failures in a row")
+                self.news.append(f"{s.id} off the path after {s.failures} failures in a row")
             s.off, s.ok, s.limit = True, False, START_LIMIT
             s.backoff = min(self.pause * 8, max(self.pause, 2 * s.backoff))
             s.off_until = self.now + s.backoff
@@ -667,10 +625,9 @@
     def _leave(self, s: Server, dead: bool) -> None:  # its line, and all that is out, is decided anew
         for tx in s.live if dead else ():
             self._abandon(tx)
-        for _, _, _, rpc in s.first + s.again:
-            if rpc.line:
-                rpc.line = 0.0
-                self.todo.append(rpc)
+        for rpc in [place[3] for place in s.first + s.again if place[3].line]:
+            rpc.line = 0.0
+            self.todo.append(rpc)
         s.first, s.again = [], []
 
     # ---- the list and the ring
@@ -688,8 +645,7 @@
         resized = [s for s in resized if s.kind != self.origin_kind]
         if resized and not self.points_per_size:
             self.points_per_size = RING_POINTS * len(resized) / sum(s.size for s in resized)
-        # Danger: a large ring made anew by hundreds of nodes at each change of the list. Caches not ready
-        # stay on it and are passed over, until most are gone; new points are sorted into the sorted ones.
+        # Danger: a large ring made anew at each change of the list. Caches not ready stay till most are gone.
         gone = sum(s.state == State.GONE for s in self.caches)
         if 2 * gone > len(self.caches) or any(s.points for s in resized):
             for s in self.caches:
@@ -719,7 +675,7 @@
         if not moved or b.at is None or b.at.state != State.READY:
             b.at = b.home
 
-    def _taking(self, b: Bucket) -> list[Server]:  # the caches that it is spread over, as this node prefers them
+    def _taking(self, b: Bucket) -> list[Server]:  # its caches, as this node prefers them
         met, room = dict[Server, float](), b.wide
         for s in self._ready_from(b.point):
             if s not in met:
@@ -729,9 +685,7 @@
                     break
         return sorted(met, key=met.__getitem__, reverse=True)
 
-    def _heavy(self, b: Bucket) -> None:
-        # Danger: one key is more than its cache can do, and no move of whole buckets helps. Each node takes one
-        # cache of the first few along the ring, by its own draw: as many as hold the bucket's part of the load.
+    def _heavy(self, b: Bucket) -> None:  # Danger: one key is more than its cache can do
         b.seen, self.seen = b.seen + 1, self.seen + 1
         wide = SPREAD * self.size * (b.seen - 1) / max(self.seen, RECALL / 4)
         if b.home and (wide > max(1.5 * b.wide, b.home.size) or wide < b.wide / 4):
@@ -750,30 +704,23 @@
         self.next_beat = now + self.window
         late, asked, self.asked, self.turned = self.turned / self.asked, self.asked, 1, 0
         self.pressure = max(late, self.pressure / 2)
-        # Danger: what is over a share is let in by all nodes at once when the servers have just caught up.
-        more = min(1.0, self.spare + self.overage_gain / 4)
-        self.spare = more if self.pressure <= self.overage_gain else self.spare / 2
         # Danger: more than the fleet can do, from nodes that never fill a server, is late as a whole.
         self.shed = min(0.9, max(0.0, self.shed + (late / 4 if late > SHED_FROM else -SHED_FROM / 4)))
         for s in self.servers.values():
             s.rate, s.sent = s.rate / 2 + s.sent * 500 / span, 0
-            for line in (s.first, s.again):
-                if line:  # Danger: a line of RPCs that have long had their answer
-                    line[:] = sorted(place for place in line if place[3].line)
-            # Danger: each of hundreds of nodes keeps a connection to each server, whose table is full.
-            if s.open and not s.live and now - s.last > self.idle:
+            for line in (s.first, s.again):  # Danger: a line of RPCs that have long had their answer
+                line[:] = sorted(place for place in line if place[3].line)
+            if s.open and not s.live and now - s.last > self.idle:  # Danger: full tables of connections
                 s.open = False
                 self.closing.append(s)
-            if s.state == State.READY and not s.off:
-                s.ok = now >= s.cold_until
+            s.ok = s.state == State.READY and not s.off and now >= s.cold_until
         warm = [s for s in self.servers.values() if s.ok and s is not self.origin]
         # Danger: a node that starts among cold caches alone would send them nothing until they are warm.
         known = self.warm_rate or 1000 * asked / span / max(1.0, sum(s.size for s in self.caches))
         self.warm_rate = sum(s.rate for s in warm) / sum(s.size for s in warm) if warm else known
 
     def _round(self) -> None:  # the mechanism's, over caches heard and warm; others count at the mean
-        # Danger: hundreds of nodes each move keys on a few answers' noise, and every cache misses them. A
-        # cache takes part once it has answered this node often enough since a bucket last came or went.
+        # Danger: hundreds of nodes each move keys on a few answers' noise, and every cache misses them.
         heard = (s for s in self.servers.values() if s.ok and s.heard >= EVIDENCE and s is not self.origin)
         held: dict[Server, list[Bucket]] = {s: [] for s in heard}
         if len(self.young) >= KEYS_KEPT or self.now >= self.aged_at + AGE * ROUND_MS:
@@ -790,9 +737,8 @@
         caches = list(held)
         if len(caches) < 2:
             return
-        for s in caches:
-            # Danger: an overloaded cache is sent little, its limit being low; the rate calls it light.
-            s.c = (s.load + len(s.first) if s.load >= 0 else s.rate * s.latency) / s.size
+        for s in caches:  # Danger: an overloaded cache is sent little, so the rate calls it light.
+            s.c = (s.load + len(s.first) if s.load >= 0 else s.rate * max(1.0, s.latency)) / s.size
             s.m = float(sum(b.keys for b in held[s]))
         mean_c, mean_m = sum(s.c for s in caches) / len(caches), sum(s.m for s in caches) / len(caches)
         loads: dict[Server, list[Load]] = {}
@@ -810,7 +756,3 @@
     def _count(self) -> int:
         self.draws += 1
         return self.draws
-
-    def _tell(self, text: str) -> None:
-        if len(self.news) < 8:  # Danger: a storm of log lines
-            self.news.append(text)
--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from hookpitch.balancer.decisions import Node
-from hookpitch.balancer.interface import Deployment, Entry, ListKind, Outcome, Report
+from hookpitch.balancer.interface import Deployment, Entry, ListKind, Outcome, Report, State
 from hookpitch.core.admission import Admission
 from hookpitch.core.counters import Counters
 from hookpitch.core.deadlines import Deadline, Deadlines
@@ -289,6 +289,18 @@
             self.carrier.close_idle(id)
         self.decide(now)
 
+    def bannable(self, id: str) -> bool:
+        """Whether an operator may name it: a listed cache server, or one that is out by hand already."""
+        s = self.node.servers.get(id)
+        listed = s is not None and s.listed != State.GONE and s.kind != self.deployment.origin_kind
+        return id in self.node.bans or listed
+
+    def members(self) -> tuple[int, int]:
+        """Cache servers in the list, and those of them that are avoided now, by hand or by choice."""
+        servers = (s for s in self.node.servers.values() if s.kind != self.deployment.origin_kind)
+        listed = [s for s in servers if s.listed != State.GONE]
+        return len(listed), sum(s.state != State.READY or s.off for s in listed)
+
     def decide(self, now: float) -> None:
         """Pull decisions until there is none."""
         if self._deciding:  # an input that came of a decision: the loop that is on goes on
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -104,7 +104,7 @@
         by_method = [(f"{name}.{m.name}", counts.get(f"{name}.{m.name}", 0))
                      for name in ("completed", "rejected", "failed")
                      for m in self.post.deployment.methods]  # fmt: skip
-        members, out = self.host.node.members()
+        members, out = self.host.members()
         more = [("upstream_requests", counts.get("upstream_requests", 0)), ("pending", self.host.open),
                 ("members", members), ("members_unavailable", out),
                 ("config_reloads", counts.get("config_reloads", 0)),
@@ -112,13 +112,13 @@
         return by_method + more
 
     def suspend(self, id: str) -> str:
-        if not self.host.node.bannable(id):
+        if not self.host.bannable(id):
             return "no such cache server"
         self._do("SUSPEND", id)
         return ""
 
     def restore(self, id: str) -> str:
-        if not self.host.node.bannable(id):
+        if not self.host.bannable(id):
             return "no such cache server"
         self._do("RESTORE", id)
         return ""
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -125,7 +125,7 @@
     fleet.listed([entry("s2")], ListKind.DELTA)
     fleet.listed([entry("s1"), entry("s3")])
     fleet.listed([entry("s1"), entry("s2"), entry("s3")])
-    assert "s2" not in asked(fleet) and fleet.node.bannable("s2")
+    assert "s2" not in asked(fleet) and fleet.node.servers["s2"].state != State.READY
 
 
 def test_two_bans_are_undone_by_one_call_and_the_server_comes_back_cold_and_without_strikes() -> None:
