SIGHUP loads new settings into a running node, checked whole before any of it acts

Cause: only discovery's address could change without a restart, so a move of a deployment was a restart of every node. Now the file's `settings` are read by the same reader (`hookpitch/balancer/deployment.py`), which refuses unknown words (weights, group, idempotency), negative and non-finite figures; without methods, torn or of wrong types it is one line and `config_reload_errors`, and the node serves on as it was. `reloaded` tells which settings changed, `config_changes` counts them; name, listen, management, seed and limits stay until a restart, with a line each. Where kinds or the meaning of sizes change, the whole list is asked for anew. RPCs in flight keep method and deadlines. Of two copies only the first to begin streams.

--- a/hookpitch/__main__.py
+++ b/hookpitch/__main__.py
@@ -17,7 +17,7 @@
 from hookpitch.net import log, turns
 from hookpitch.net.clock import Clock
 from hookpitch.net.node import SocketNode
-from hookpitch.net.start import discovery, post
+from hookpitch.net.start import anew, post
 
 LISTEN_TRIES, LISTEN_PAUSE_S = 30, 0.1
 
@@ -52,7 +52,7 @@
                 print(f"hookpitch: cannot start: {fault}", file=sys.stderr)
                 return 2
             time.sleep(LISTEN_PAUSE_S)
-    reload = partial(node.reload, partial(discovery, os.environ))
+    reload = partial(node.reload, partial(anew, os.environ))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(node.leave))
--- a/hookpitch/balancer/deployment.py
+++ b/hookpitch/balancer/deployment.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
+from math import isfinite
 from typing import Any
 
 from hookpitch.balancer.interface import Customer, Deployment, Idempotency, Method, Report
@@ -16,6 +17,8 @@
     "utilization": "utilisation", "outstanding": "inflight", "backlog": "queue", "recent_ms": "recent_ms",
     "throughput": "rate", "errors_per_s": "errors_per_s", "x0": "x0", "x1": "x1",
 }  # fmt: skip
+WEIGHTS = ("silent", "nominal", "rough", "live")  # what the sizes in a list tell
+GROUPS = ("all", "zone", "cell")
 NO_REPORT: Report = {}
 FIGURE_MOST = 1e7  # nothing that a server reports is larger: an hour has fewer milliseconds
 
@@ -53,33 +56,42 @@
             raise ValueError(f"setting {where}{name} is missing")
         return table[name]
 
+    def figure(table: Mapping[str, Any], name: str) -> float:
+        value = float(table.get(name) or 0.0)
+        if not (isfinite(value) and value >= 0):
+            raise ValueError(f"setting {name} is no figure from 0 up: {value}")
+        return value
+
     def span(table: Mapping[str, Any], name: str, default: float = 0.0) -> float:
-        value = table.get(name)
-        return default if value is None else float(value) * 1000
+        return default if table.get(name) is None else figure(table, name) * 1000
+
+    def word(table: Mapping[str, Any], name: str, known: Collection[str], default: str) -> str:
+        value = table.get(name, default)
+        if value not in known:
+            raise ValueError(f"setting {name} has an unknown value '{value}'")
+        return str(value)
 
     limits, rules, tariffs = (top.get(name) or {} for name in ("limits", "rules", "tariffs"))
     family = top.get("family_info") or {}
     methods = []
     for m in need(top, "methods", ""):
-        word = m.get("idempotency", "fragile")
-        if word not in IDEMPOTENCY:
-            raise ValueError(f"setting methods[].idempotency has an unknown value '{word}'")
-        hard = float(need(m, "hard_deadline_s", "methods[].")) * 1000
+        need(m, "hard_deadline_s", "methods[].")
+        hard = span(m, "hard_deadline_s")
         methods.append(
             Method(
                 name=str(need(m, "name", "methods[].")),
                 soft_ms=span(m, "soft_deadline_s", hard) or hard,
                 hard_ms=hard,
-                gain=float(m.get("gain", 1.0)),
-                late_gain=float(m.get("overdue_gain") or 0.0),
-                idempotency=IDEMPOTENCY[word],
-                group=str(m.get("group", "all")),
+                gain=figure(m, "gain") if "gain" in m else 1.0,
+                late_gain=figure(m, "overdue_gain"),
+                idempotency=IDEMPOTENCY[word(m, "idempotency", IDEMPOTENCY, "fragile")],
+                group=word(m, "group", GROUPS, "all"),
                 window_ms=span(m, "window_s"),
                 streamed=bool(m.get("streamed", False)),
             )
         )
     customers = tuple(
-        Customer(str(need(c, "name", "customers[].")), float(c.get("quota_per_s") or 0.0))
+        Customer(str(need(c, "name", "customers[].")), figure(c, "quota_per_s"))
         for c in top.get("customers") or []
     )
     return Deployment(
@@ -95,14 +107,14 @@
         cancelling=bool(limits.get("cancelling", False)),
         max_retry_after_ms=span(limits, "max_retry_after_s") if limits.get("retry_after") else 0.0,
         ask_within_ms=span(rules, "ask_within_s"),
-        cold_share=float(rules.get("cold_from") or 0.0),
+        cold_share=figure(rules, "cold_from"),
         cold_ms=span(rules, "cold_s"),
-        overload_factor=float(rules.get("overload_factor") or 1.0),
+        overload_factor=figure(rules, "overload_factor") or 1.0,
         tip_after_ms=span(rules, "tip_after_s"),
-        hold_cost=float(tariffs.get("connection") or 0.0),
-        dial_cost=float(tariffs.get("handshake") or 0.0),
-        overage_gain=float(top.get("overage_gain") or 0.0),
-        live_sizes=top.get("weights") == "live",
+        hold_cost=figure(tariffs, "connection"),
+        dial_cost=figure(tariffs, "handshake"),
+        overage_gain=figure(top, "overage_gain"),
+        live_sizes=word(top, "weights", WEIGHTS, "nominal") == "live",
         kinds=tuple(str(k) for k in top.get("host_types") or []),
         dial_timeout_ms=span(limits, "dial_timeout_s") or 250.0,
         conn_idle_ms=span(limits, "conn_idle_s") or 15000.0,
--- a/hookpitch/core/admission.py
+++ b/hookpitch/core/admission.py
@@ -46,6 +46,10 @@
         self._came = self._let = 0
         self._ages, self._skip, self._cpu = 0.0, 0, 0.0
 
+    def retimed(self, soft_ms: float) -> None:
+        """Another shortest soft deadline, in milliseconds; the rate and what was measured stay."""
+        self.aim, self.window = AIM * soft_ms, soft_ms / WINDOWS
+
     def read(self, age: float) -> None:
         """An RPC was read that had waited for `age` milliseconds."""
         self._came += 1
--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -85,14 +85,15 @@
     """An RPC from the time it is taken until it is answered and no transmission is out."""
 
     __slots__ = ("number", "client", "place", "command", "key", "id", "extras", "value", "hard", "deadline",
-                 "txs", "live", "open", "parting", "method", "stream")  # fmt: skip
+                 "txs", "live", "open", "parting", "method", "stream", "streaming")  # fmt: skip
 
     def __init__(self, client: Client, place: list[bytes | None], words: Sequence[bytes],
                  method: str) -> None:  # fmt: skip
         self.client, self.place, self.method = client, place, method
         self.command, self.key, self.id, self.extras = words[:4]
         self.value: bytes | Pieces | None = words[4] if len(words) > 4 else None
-        self.stream: Stream | None = None  # its answer, once it has begun to pass in pieces
+        self.stream: Stream | None = None  # its answer, once it has begun to pass in pieces,
+        self.streaming: Tx | None = None  # and by which transmission
         self.number, self.live, self.hard = -1, 0, 0.0
         self.open, self.parting = True, False  # parting: the client sends no more, maybe has gone
         self.deadline: Deadline | None = None
@@ -173,7 +174,7 @@
         if rpc.stream is not None and rpc.open:
             if now - rpc.stream.moved < self.patience:
                 return self._watch(rpc, rpc.stream.moved + self.patience)
-            tx = next(tx for tx in rpc.txs if not tx.done)
+            tx = rpc.streaming
             # Danger: a server or a reader that has gone without a word holds both connections for good.
             self.counters.add("streams.silent")
             self.carrier.call_off(now, tx)
@@ -197,14 +198,15 @@
         rpc.live -= 1
         self.counters.add(TX_NAMES[outcome])
         if rpc.stream is not None:
-            if rpc.open:
+            if rpc.open and tx is rpc.streaming:
                 self._streamed(rpc, outcome)
         elif outcome == Outcome.COMPLETED and rpc.open:
             self._answer(rpc, bulk(value), "completed")
         elif rpc.parting and rpc.open:
             self._answer(rpc, b"-ERR failed\r\n", "errored")
         # Danger: the time for which an answer stood unread here taken for its server's.
-        took = rpc.stream.took if rpc.stream is not None else max(0.0, now - tx.sent - age)
+        streamed = rpc.stream is not None and tx is rpc.streaming
+        took = rpc.stream.took if streamed else max(0.0, now - tx.sent - age)
         self.node.tx_ended(now, str(rpc.number), tx.n, outcome, not rpc.open, took, report)
         self._free(rpc)
         self.decide(now)
@@ -212,10 +214,10 @@
     def begun(self, now: float, tx: Tx, length: int, source: Source) -> bool:
         """The first bytes of an answer that passes in pieces; False where its RPC is over."""
         rpc = tx.rpc
-        if tx.done or not rpc.open:
+        if tx.done or not rpc.open or rpc.stream is not None:  # of two copies the first one passes
             return False
         self.counters.add("streams")
-        rpc.stream = Stream(source, length, max(0.0, now - tx.sent), now)
+        rpc.stream, rpc.streaming = Stream(source, length, max(0.0, now - tx.sent), now), tx
         self.node.stream_begun(now, str(rpc.number), tx.n)
         # Danger: its deadline was for the first bytes; what the server still gives is passed on to the end.
         self.deadlines.drop(rpc.deadline)
@@ -226,7 +228,7 @@
     def piece(self, now: float, tx: Tx, data: bytes) -> None:
         """More of it."""
         rpc = tx.rpc
-        if rpc.stream is not None and rpc.open:
+        if rpc.stream is not None and rpc.open and tx is rpc.streaming:
             rpc.stream.moved = now
             data = rpc.stream.piece(data)
             if data:
@@ -282,6 +284,15 @@
         self.node.servers_listed(now, kind, entries)
         self.decide(now)
 
+    def reconfigured(self, now: float, deployment: Deployment) -> None:
+        """New settings, for what comes from now on; RPCs that were taken keep method and deadlines."""
+        self.deployment, self.methods = deployment, {m.name.encode(): m for m in deployment.methods}
+        # Danger: a stream or a leave cut short that began under longer deadlines.
+        self.patience = max(self.patience, *(m.hard_ms for m in deployment.methods))
+        self.admission.retimed(min(m.soft_ms for m in deployment.methods))
+        self.node.reconfigured(now, deployment)
+        self.decide(now)
+
     def ban(self, now: float, id: str, banned: bool) -> None:
         """An operator leaves a server out, or takes it back."""
         self.node.server_banned(now, id, banned)
@@ -336,7 +347,7 @@
     def cancel(self, rpc_id: str, tx: int) -> None:
         rpc = self.rpcs.get(int(rpc_id))
         if rpc is not None and tx < len(rpc.txs) and not rpc.txs[tx].done:
-            if rpc.open and (rpc.parting or rpc.stream is not None):
+            if rpc.open and (rpc.parting or rpc.txs[tx] is rpc.streaming):
                 return
             self.carrier.call_off(self.now, rpc.txs[tx])
             self.tx_over(self.now, rpc.txs[tx], Outcome.CANCELLED)
--- a/hookpitch/net/caches.py
+++ b/hookpitch/net/caches.py
@@ -305,11 +305,15 @@
     def __init__(self, reactor: Any, clock: Clock, host: Host, most: int,  # noqa: ANN401
                  origin: Callable[[Pool], Connection]) -> None:  # fmt: skip
         self.reactor, self.clock, self.host, self.most, self.origin = reactor, clock, host, most, origin
-        self.dial_ms = host.deployment.dial_timeout_ms
-        self.idle_ms = IDLE_SHARE * host.deployment.conn_idle_ms
+        self.reconfigured()
         self.pools: dict[str, Pool] = {}
         self.held = 0
 
+    def reconfigured(self) -> None:
+        """The settings' times, for dials and idle connections from now on."""
+        self.dial_ms = self.host.deployment.dial_timeout_ms
+        self.idle_ms = IDLE_SHARE * self.host.deployment.conn_idle_ms
+
     def carry(self, now: float, tx: Tx) -> bool:
         pool = self.pools.get(tx.server)
         return pool is not None and pool.carry(tx)
--- a/hookpitch/net/discovery.py
+++ b/hookpitch/net/discovery.py
@@ -153,11 +153,12 @@
         watch.connector = self.reactor.connectTCP(*self.address, _Dial(watch), timeout=None)
         watch.wait(DIALS * self.host.deployment.dial_timeout_ms)
 
-    def move(self, address: tuple[str, int]) -> None:
-        """Discovery lives elsewhere now, and may count versions anew: the whole list is asked for."""
-        if address == self.address and self.current is not None:
+    def move(self, address: tuple[str, int], anew: bool = False) -> None:
+        """Discovery lives elsewhere now, and may count versions anew; or the list held is to be read anew, as
+        its words mean something else: the whole list is asked for."""
+        if address == self.address and self.current is not None and not anew:
             return
-        if address != self.address:
+        if address != self.address or anew:
             self.address, self.seq, self.older = address, 0, 0
         self.watch(self.clock.now())
 
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import Callable
+from dataclasses import fields, replace
 from typing import Any
 
 from hookpitch.balancer.interface import ListKind
@@ -19,7 +20,7 @@
 from hookpitch.net.management import CALLERS, SPARE, Door
 from hookpitch.net.origin import OriginConnection
 from hookpitch.net.pulse import Pulse
-from hookpitch.net.start import Post
+from hookpitch.net.start import Anew, Post
 
 BACKLOG = 4096
 OWN = 14  # descriptors: standard ones, the poller's, discovery's two, Twisted's reserve
@@ -103,12 +104,13 @@
         counts = self.host.counters.counts
         by_method = [(f"{name}.{m.name}", counts.get(f"{name}.{m.name}", 0))
                      for name in ("completed", "rejected", "failed")
-                     for m in self.post.deployment.methods]  # fmt: skip
+                     for m in self.host.deployment.methods]  # fmt: skip
         members, out = self.host.members()
         more = [("upstream_requests", counts.get("upstream_requests", 0)), ("pending", self.host.open),
                 ("members", members), ("members_unavailable", out),
                 ("config_reloads", counts.get("config_reloads", 0)),
-                ("config_reload_errors", counts.get("config_reload_errors", 0))]  # fmt: skip
+                ("config_reload_errors", counts.get("config_reload_errors", 0)),
+                ("config_changes", counts.get("config_changes", 0))]  # fmt: skip
         return by_method + more
 
     def suspend(self, id: str) -> str:
@@ -203,18 +205,30 @@
         self.shared.shorten(calls)
         self.clock.deadlines.add(now + FOLLOW_MS, self._follow)
 
-    def reload(self, discovery: Callable[[], tuple[str, int]]) -> None:
-        """The file of the configuration was replaced: of what it holds, discovery's address may change."""
+    def reload(self, read: Callable[[], Anew]) -> None:
+        """The file of the configuration was replaced: discovery's address and the settings may change."""
         try:
-            address = discovery()
+            told = read()
         except ValueError as fault:
             # Danger: a file half written, or with a slip in it, must not stop a node that serves.
             self.logger.info("not reloaded", why=str(fault))
             self.host.counters.add("config_reload_errors")
             return
         self.host.counters.add("config_reloads")
-        self.logger.info("reloaded", discovery=f"{address[0]}:{address[1]}")
-        self.discovery.move(address)
+        for name, value in told.fixed.items():
+            if value != self.post.fixed.get(name):
+                self.logger.info("stays until a restart", what=name)
+        before, d = self.host.deployment, told.deployment
+        changed = [f.name for f in fields(d) if getattr(d, f.name) != getattr(before, f.name)
+                   and f.name != "seed"] if d is not None else []  # fmt: skip
+        if d is not None and changed:
+            # The seed stays: with another, each node's draws and with them its keys' caches would move.
+            self.host.reconfigured(self.clock.now(), replace(d, seed=before.seed))
+            self.pools.reconfigured()
+            self.host.counters.add("config_changes")
+        address = f"{told.discovery[0]}:{told.discovery[1]}"
+        self.logger.info("reloaded", discovery=address, changed=",".join(changed) or "nothing")
+        self.discovery.move(told.discovery, bool({"kinds", "origin_kind", "live_sizes"} & set(changed)))
 
     def leave(self) -> None:
         """Serve on for a while, then listen no more, answer what was taken, and end."""
@@ -222,7 +236,7 @@
             return
         self.leaving = True
         self.logger.info("leaving")
-        longest = max((m.hard_ms for m in self.post.deployment.methods), default=0.0)
+        longest = self.host.patience  # also of RPCs that came under settings of before
         # An inherited socket is heard by another process, or kept until there is one: nothing is refused.
         serve_on = SERVE_ON_MS if self.post.inherited is None else 0.0
         until, deadlines = self.clock.now() + serve_on, self.clock.deadlines
--- a/hookpitch/net/start.py
+++ b/hookpitch/net/start.py
@@ -6,13 +6,14 @@
 import os
 import socket
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from hookpitch.balancer.deployment import deployment
 from hookpitch.balancer.interface import Deployment, Entry
 from hookpitch.net.discovery import read
 
+FIXED = ("name", "listen", "management", "seed", "limits")  # a running node keeps these
 SOCKETS_LEAST = 64
 MEMORY_LEAST = 32  # MB
 
@@ -33,6 +34,7 @@
     management: tuple[str, int] | None = None  # the operators' door; None where neither place names one
     inherited: int | None = None  # the descriptor of the clients' listening socket, if inherited
     shared: str = ""  # a folder that this node's processes share
+    fixed: Mapping[str, Any] = field(default_factory=dict)  # as the file had what only a restart changes
 
 
 def post(environment: Mapping[str, str]) -> Post:
@@ -49,8 +51,7 @@
             raise ValueError(f"{name} is missing")
         return value
 
-    seed, limits = top.get("seed", 0), top.get("limits") or {}
-    number = _whole(int(seed, 16) if isinstance(seed, str) and _hex(seed) else seed, "seed", 0)
+    number, limits = _seed(top), top.get("limits") or {}
     if not isinstance(limits, dict):
         raise ValueError("limits is no JSON object")
     # On sockets the list always has to be asked for.
@@ -70,15 +71,37 @@
         management=_door(environment.get("PROXY_MANAGEMENT") or top.get("management")),
         inherited=_inherited(environment.get("PROXY_INHERITED_FD"), _address(told("listen"), "listen")),
         shared=environment.get("TMPDIR", ""),
+        fixed={name: top[name] for name in FIXED if name in top},
     )
 
 
-def discovery(environment: Mapping[str, str]) -> tuple[str, int]:
-    """Where the file, read anew, says that discovery is; the environment is as old as the process."""
-    value = _file(environment).get("discovery")
+@dataclass(frozen=True, slots=True)
+class Anew:
+    """What a running node takes from its file when it is read anew."""
+
+    discovery: tuple[str, int]
+    deployment: Deployment | None  # None where the file has no settings: those that act stay
+    fixed: Mapping[str, Any]  # what only a restart changes, as the file has it
+
+
+def anew(environment: Mapping[str, str]) -> Anew:
+    """The file, read and checked whole. ValueError says in one line what is wrong; the environment is as old
+    as the process, so here the file alone counts."""
+    top = _file(environment)
+    value = top.get("discovery")
     if not isinstance(value, str):
         raise ValueError("discovery is missing")
-    return _address(value, "discovery")
+    settings = top.get("settings")
+    d = None if settings is None else replace(deployment(_seed(top), settings), must_ask=True)
+    if d is not None and not d.methods:
+        raise ValueError("settings have no methods")
+    fixed = {name: top[name] for name in FIXED if name in top}
+    return Anew(_address(value, "discovery"), d, fixed)
+
+
+def _seed(top: Mapping[str, Any]) -> int:
+    seed = top.get("seed", 0)
+    return _whole(int(seed, 16) if isinstance(seed, str) and _hex(seed) else seed, "seed", 0)
 
 
 def _file(environment: Mapping[str, str]) -> dict[str, Any]:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -14,7 +14,7 @@
 from fleet import DISCOVERY, SETTINGS, Sockets, listed_host
 
 from hookpitch.balancer.interface import State
-from hookpitch.net.start import Post, discovery, post
+from hookpitch.net.start import Post, anew, post
 
 TOLD = {
     "name": "n3", "listen": "127.0.0.1:6379", "discovery": "127.0.0.2:8500", "seed": "8c1f30d27a5be964",
@@ -93,7 +93,7 @@
 def test_a_new_file_moves_discovery_whose_versions_may_count_anew(tmp_path: Path) -> None:
     s, path, said = Sockets(), tmp_path / "node.json", []
     s.info = lambda event, **values: said.append(event)
-    reload = partial(s.node.reload, partial(discovery, {"PROXY_CONFIG": str(path), "PROXY_DISCOVERY": "h:1"}))
+    reload = partial(s.node.reload, partial(anew, {"PROXY_CONFIG": str(path), "PROXY_DISCOVERY": "h:1"}))
     for bad in ("{", "[1]", "{}", '{"discovery": "nowhere"}', '{"discovery": 5}'):
         path.write_text(bad)
         reload()
