A test of the switch there and back with an RPC in flight, bad files between

Each step has an RPC out: sent once, answered once. Six bad files in a row change nothing and are counted. It leaves open a non-retriable RPC in flight, and load of more than one RPC at a time. Virtual time.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 import pytest
-from fleet import DISCOVERY, SETTINGS, Sockets, listed_host
+from fleet import DISCOVERY, SETTINGS, Line, Sockets, get, listed_host
 
 from hookpitch.balancer.interface import State
 from hookpitch.net.start import Post, anew, post
@@ -139,3 +139,38 @@
         capture_output=True, text=True, cwd=Path(__file__).parent.parent, timeout=60, check=False,
     )  # fmt: skip
     assert done.returncode == 2 and done.stderr.count("\n") == 1 and "gatewya: no such section" in done.stderr
+
+
+def test_settings_are_switched_there_and_back_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    s, path = Sockets(), tmp_path / "node.json"
+    reload = partial(s.node.reload, partial(anew, {"PROXY_CONFIG": str(path)}))
+    old = {"discovery": f"127.0.0.1:{DISCOVERY}", "settings": SETTINGS}
+    new = deepcopy(old)
+    new["settings"]["weights"] = "live"
+    new["settings"]["limits"]["second_copies"] = True
+    c = s.client()
+
+    def lines() -> list[Line]:
+        return s.network.to(7000) + s.network.to(7001)
+
+    for step, told in enumerate((new, "{", old, new)):
+        c.say(get(f"r{step}"))
+        s.pass_time(1)
+        if told == "{":
+            wrong = ({"weights": "x"}, {"overage_gain": -1}, {"overage_gain": float("nan")}, {"methods": []})
+            for value in ({}, 7, *(SETTINGS | change for change in wrong)):
+                path.write_text(json.dumps(old | {"settings": value}))
+                reload()
+                assert s.logs[-1] == "not reloaded" and s.node.host.node.copies, value
+        else:
+            path.write_text(json.dumps(told))
+            reload()
+            assert s.node.host.node.copies == (told is new)
+            assert (s.node.host.node.nominal is not None) == (told is new)
+        asked = [data.split(b"\r\n")[6] for line in lines() if (data := line.take())]
+        assert asked == [b"r%d" % step]  # sent once, and not again
+        for line in lines():
+            line.say(b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$13\r\noutstanding=1\r\n")
+        s.pass_time(1)
+        assert c.take() == b"$1\r\nv\r\n"
+    assert s.counters.counts["config_changes"] == 3 and s.counters.counts["config_reload_errors"] == 6
