Tests of the switch under load and of the rework; a begun stream ends the other copy at once

One found a fault: `Host.begun` asked for no decision, so the other copy ran on until something else happened.

--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -223,6 +223,7 @@
         self.deadlines.drop(rpc.deadline)
         self._watch(rpc, now + self.patience)
         rpc.client.begun(rpc.place, rpc.stream)
+        self.decide(now)  # Danger: a second copy that runs on, until something else happens
         return True
 
     def piece(self, now: float, tx: Tx, data: bytes) -> None:
--- a/hookpitch/standin/loopback.py
+++ b/hookpitch/standin/loopback.py
@@ -71,9 +71,9 @@
 class Client(threading.Thread):
     """Asks one RPC after the other on a connection for as long as it stays open; then on a new one."""
 
-    def __init__(self, name: str, address: tuple[str, int]) -> None:
+    def __init__(self, name: str, address: tuple[str, int], method: str = "read") -> None:
         super().__init__(daemon=True)
-        self.who, self.address, self.stop = name, address, False
+        self.who, self.address, self.method, self.stop = name, address, method, False
         self.served = self.refused = self.resent = 0
         self.wrong: list[bytes] = []
 
@@ -85,7 +85,7 @@
             fresh = peer is None
             peer = peer or socket.create_connection(self.address, 3)
             try:
-                peer.sendall(command(b"OBJ.GET", key, rpc, b"c=read,d=1000"))
+                peer.sendall(command(b"OBJ.GET", key, rpc, b"c=%b,d=1000" % self.method.encode()))
                 got = b""
                 while not got.endswith(b"\r\n") or (got[:1] == b"$" and got.count(b"\r\n") < 2):
                     data = peer.recv(4096)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -276,5 +276,45 @@
     f.pass_time(f.node.methods["read"].soft_ms * 0.7)
     assert len(f.txs[rpc]) == 2 and f.txs[rpc][0]["server"] != f.txs[rpc][1]["server"]
     assert len([out for out in f.out if out[0] == rpc]) == 2  # the first is still out
+    # Danger: the next cache along the ring would miss, and the origin be asked too late.
+    assert f.txs[rpc][1]["server"] == "o1"
     f.end(rpc, Outcome.COMPLETED, 1)
     assert not f.open and f.txs[rpc][0].get("called_off")
+
+
+def test_no_second_copy_is_sent_while_the_origin_is_slow() -> None:
+    # Danger: copies that a slow origin gets on top of its fetches are what stops it.
+    f = fleet(4, second_copies=True)
+    f.node.seen, f.node.servers["o1"].latency = 1e6, f.node.methods["read"].soft_ms * 0.4
+    rpc = f.arrive("k")
+    f.pass_time(f.node.methods["read"].soft_ms * 0.7)
+    assert len(f.txs[rpc]) == 1
+
+
+def test_an_origin_whose_work_varies_is_asked_no_less_whatever_is_turned_away() -> None:
+    # Danger: its limit cut by single answers, so more is turned away, so the limit is cut again.
+    f = fleet(2)
+    f.node.pressure = 1.0
+    for i in range(60):
+        rpc = f.arrive(f"k{i}", write=True)
+        f.pass_time(220.0 if i % 4 == 3 else 20.0)  # one in four over half of the soft deadline of 400
+        f.node.pressure = 1.0
+        f.end(rpc, Outcome.COMPLETED)
+        assert f.node.servers["o1"].limit >= 2.0
+    for i in range(60):  # and with a mean that is slow it is asked less
+        rpc = f.arrive(f"m{i}", write=True)
+        f.pass_time(220.0)
+        f.end(rpc, Outcome.COMPLETED)
+    assert f.node.servers["o1"].limit < 2.0
+
+
+def test_without_reports_a_cache_that_answers_late_is_the_heavy_one() -> None:
+    # Danger: an overloaded cache is sent little, so the rate calls it light and gives it more.
+    f = fleet(4)
+    f.node.seen = 1e6
+    for i in range(400):
+        rpc = f.arrive(f"k{i % 100}")
+        f.pass_time(60.0 if f.txs[rpc][0]["server"] == "s0" else 5.0)
+        f.end(rpc, Outcome.COMPLETED)
+    moved = [b for b in f.node.buckets.values() if b.at is not b.home]
+    assert moved and all(b.home.id == "s0" for b in moved)
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -1,5 +1,7 @@
 """Values too large to hold: answers in pieces, writes held once."""
 
+from dataclasses import replace
+
 import h11
 import pytest
 from fleet import ORIGIN_PORT, Line, Sockets, get
@@ -240,3 +242,27 @@
     while parser.passing:
         got += parser.part(65536)
     assert got == VALUE and parser.next() == (True, [b"", b"hit", None]) and parser.next()[1] == b"OK"
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+@pytest.mark.parametrize("first", ["cache", "origin"])
+def test_of_two_copies_the_first_to_begin_passes_and_no_other(first: str, cancelling: bool) -> None:
+    s = Sockets()
+    d = s.node.host.deployment
+    s.node.host.reconfigured(s.clock.now(), replace(d, second_copies=True, cancelling=cancelling))
+    s, client, cache = begun(s)
+    s.pass_time(300)  # silent for the patience: a copy goes to the origin
+    (origin,) = s.network.to(ORIGIN_PORT)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LARGE
+    parts = {"cache": (cache, b"*3\r\n$%d\r\n" % LARGE, b"\r\n" + REST), "origin": (origin, head, b"")}
+    (one, begin, end), (other, late, _) = parts[first], parts["origin" if first == "cache" else "cache"]
+    one.say(begin + VALUE[:1000])
+    s.pass_time(1)
+    assert (other.ended or other.disconnecting) == cancelling
+    if not cancelling:
+        other.say(late + VALUE[:500])  # it begins, too
+    one.say(VALUE[1000:] + end)
+    s.pass_time(1)
+    assert client.take() == bulk(VALUE) and not client.ended
+    assert s.counters.counts["completed.read"] == 1 and s.counters.counts["streams"] == 1
+    assert not len(s.node.host.rpcs)
--- /dev/null
+++ b/tests/test_switch.py
@@ -0,0 +1,197 @@
+"""Other settings in a running node, there and back: nothing lost, sent twice or forgotten."""
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from copy import deepcopy
+from dataclasses import replace
+from pathlib import Path
+from threading import Lock
+
+import pytest
+from fleet import ORIGIN, SETTINGS, Fleet, Line, Storm, deployment, entry, told
+from test_start import TOLD
+
+from hookpitch.balancer.interface import Customer, Idempotency, ListKind, Method, Outcome
+from hookpitch.core.resp import Parser, bulk
+from hookpitch.core.ring import Ring
+from hookpitch.standin.loopback import Client, call, listening, ready, serve
+
+NEW = deepcopy(SETTINGS)
+NEW["weights"] = "live"
+NEW["limits"]["second_copies"] = True
+NEW["methods"][0]["hard_deadline_s"] = 0.9
+BAD = ("{", "[]", "{}", '{"discovery": "127.0.0.1:1", "settings": {"methods": []}}')
+
+
+class Switching(Storm):
+    """A storm in which the settings change back and forth; copies are allowed half of the time."""
+
+    def sent(self, line: Line, rpc: str) -> None:
+        if self.s.node.host.deployment.second_copies and rpc not in self.once:
+            self.out.pop(rpc, None)  # a second one beside it is in order
+        super().sent(line, rpc)
+
+    def step(self) -> None:
+        host = self.s.node.host
+        if self.rng.random() < 0.06:
+            back = host.deployment.second_copies
+            host.reconfigured(self.now, replace(told(SETTINGS if back else NEW), must_ask=True))
+            if back:
+                for number in list(host.node.rpcs):
+                    out = [tx for tx in host.rpcs.get(int(number)).txs if not tx.done]
+                    assert len(out) < 2, "two out at once"
+        super().step()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_rules_hold_while_the_settings_change_under_load(seed: int) -> None:
+    storm = Switching(seed)
+    for _ in range(500):
+        storm.step()
+    for line in storm.clients:
+        line.reads = True
+    storm.s.pass_time(1100)
+    storm.settle()
+    assert not any(storm.asked[id(line)] for line in storm.clients), "an RPC was lost"
+    host, counts = storm.s.node.host, storm.s.counters.counts
+    assert not len(host.rpcs) and not host.node.rpcs, "records outlive their RPCs"
+    assert not [name for name in counts if name.startswith("broken")] and counts["rpcs.completed"] > 10
+
+
+def test_what_is_known_is_carried_over_there_and_back() -> None:
+    methods = (Method("read", 400.0, 1000.0, 1.0),
+               Method("once", 400.0, 1000.0, 1.0, 0.0, Idempotency.NON_RETRIABLE))  # fmt: skip
+    small, kinds = (Customer("small", 1.0),), ("std", "origin")
+    d = deployment(methods=methods, customers=small, kinds=kinds, origin_kind=1)
+    f = Fleet(d)
+    f.listed([entry(f"s{i}") for i in range(6)] + [entry("o1", kind=1)], ListKind.CACHED)
+    node = f.node
+    for i in range(200):
+        f.end(f.arrive(f"k{i}"), Outcome.COMPLETED)
+    node.server_banned(f.now, "s0", True)
+    sick, cold = node.servers["s1"], node.servers["s2"]
+    sick.failures, sick.off, sick.off_until, sick.limit = 3, True, f.now + 9e9, 1.5
+    node._cool(cold, f.now)
+    for _ in range(3):
+        f.end(f.arrive("k1", customer="small"), Outcome.COMPLETED)
+    tokens = node.shares["small"].tokens
+    homes = {number: b.home.id for number, b in node.buckets.items()}
+    out = f.arrive("k5", method="once")
+    other = Method("once", 50.0, 100.0, 1.0, 0.0, Idempotency.RETRIABLE)
+    new = replace(d, methods=(methods[0], other), live_sizes=True, kinds=("box", *kinds), origin_kind=2)
+    for settings, kind in ((new, 1), (d, 0)):
+        node.reconfigured(f.now, settings)
+        assert node.bans == {"s0": None} and sick.off and sick.failures == 3 and sick.limit == 1.5
+        assert cold.cold_until > f.now and abs(node.shares["small"].tokens - tokens) < 1e-6
+        assert {number: b.home.id for number, b in node.buckets.items()} == homes  # no ring moved
+        assert sick.kind == kind and node.origin.id == "o1" and node.origin.kind == kind + 1
+        rpc = node.rpcs[out]
+        assert rpc.method is methods[1] and rpc.until > f.now + 390  # as it came
+    node.reconfigured(f.now, new)
+    # Sizes that move with load: the same list, cut by load, moves nothing either.
+    node.servers_listed(f.now, ListKind.DELTA, [entry("s3", size=0.25, kind=1)])
+    assert node.servers["s3"].load == 3.0 and {n: b.home.id for n, b in node.buckets.items()} == homes
+    node.reconfigured(f.now, d)
+    assert node.servers["s3"].load == -1.0
+
+
+def test_copies_that_are_out_are_called_off_where_they_are_forbidden_from_now_on() -> None:
+    d = deployment(second_copies=True)
+    f = Fleet(d)
+    f.listed([entry(f"s{i}") for i in range(4)] + [entry("o1", kind=ORIGIN)], ListKind.CACHED)
+    f.node.seen = 1e6
+    rpc = f.arrive("k")
+    f.pass_time(f.node.methods["read"].soft_ms * 0.7)
+    assert len(f.txs[rpc]) == 2 and not f.txs[rpc][0].get("called_off")
+    f.node.reconfigured(f.now, replace(d, second_copies=False))
+    f.settle()
+    assert f.txs[rpc][0].get("called_off") and not f.txs[rpc][1].get("called_off")
+
+
+def test_a_real_node_is_switched_there_and_back_under_load_despite_bad_files(tmp_path: Path) -> None:
+    seen, lock, draws = dict[bytes, int](), Lock(), random.Random(3)
+
+    def cache(peer: socket.socket) -> None:
+        ring = Ring()
+        parser = Parser(ring, commands_only=True)
+        while data := peer.recv(65536):
+            ring.write(data)
+            while (found := parser.next())[0]:
+                words = found[1]
+                with lock:
+                    seen[words[2]] = seen.get(words[2], 0) + 1
+                    wait = 0.05 if draws.random() < 0.2 else 0.0  # so that RPCs are out at each switch
+                time.sleep(wait)
+                with suppress(OSError):
+                    peer.sendall(b"*3\r\n" + bulk(words[2] + b":" + words[1]) + b"$3\r\nhit\r\n$-1\r\n")
+
+    caches, discovery = [listening() for _ in range(3)], listening()
+    for one in caches:
+        serve(one, cache)
+    dials = [f"127.0.0.1:{one.getsockname()[1]}" for one in caches]
+    plain = TOLD["known"]["hosts"][0] | {"born_ms": 0}
+    hosts = [plain | {"host": f"s{n}", "dial": dial} for n, dial in enumerate(dials)]
+    with listening() as free, listening() as door:
+        port, management = free.getsockname()[1], door.getsockname()[1]
+    base = TOLD | {"listen": f"127.0.0.1:{port}", "known": {"seq": 1, "whole": True, "hosts": hosts},
+                   "discovery": f"127.0.0.1:{discovery.getsockname()[1]}",
+                   "management": f"127.0.0.1:{management}"}  # fmt: skip
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(base))
+    node = subprocess.Popen([sys.executable, "-m", "hookpitch"], cwd=Path(__file__).parent.parent,
+                            env=os.environ | {"PROXY_CONFIG": str(path), "TMPDIR": str(tmp_path)},
+                            stderr=subprocess.DEVNULL)  # fmt: skip
+
+    def figure(name: str) -> int:
+        lines = call(management, b"METRICS").decode().split()
+        return next(int(line.partition("=")[2]) for line in lines if line.startswith(f"svc.{name}="))
+
+    def switch(text: str, name: str) -> None:
+        before = figure(name)
+        (tmp_path / "new").write_text(text)
+        os.replace(tmp_path / "new", path)
+        node.send_signal(signal.SIGHUP)
+        for _ in range(100):
+            if figure(name) == before + 1:
+                return
+            time.sleep(0.02)
+        raise AssertionError(name)
+
+    clients = []
+    try:
+        assert ready(management)
+        clients = [Client(f"c{n}", ("127.0.0.1", port), ("read", "once")[n % 2]) for n in range(8)]
+        for client in clients:
+            client.start()
+        for turn in range(3):
+            switch(json.dumps(base | {"settings": NEW}), "config_changes")
+            for text in BAD:
+                switch(text, "config_reload_errors")
+            assert figure("config_changes") == 2 * turn + 1
+            switch(json.dumps(base), "config_changes")
+            time.sleep(0.1)
+        for _ in range(400):  # however slow the machine
+            if all(client.served > 20 for client in clients):
+                break
+            time.sleep(0.05)
+        assert node.poll() is None
+    finally:
+        for client in clients:
+            client.stop = True
+        for client in clients:
+            client.join(5)
+        node.kill()
+        node.wait()
+        for one in (*caches, discovery):
+            one.close()
+    assert not [wrong for client in clients for wrong in client.wrong]
+    assert all(client.served > 20 for client in clients)
+    assert not any(client.resent for client in clients)  # no connection was closed
+    assert not [rpc for rpc, times in seen.items() if times > 1 and int(rpc[1:2]) % 2], "rule 2: sent twice"
