A width under none is none: the test of few sightings is green again

Seen: buckets asked for once or twice had a width of -0.1 to -0.4. To blame: `_heavy`, where sightings less one less their root fall under nothing; each such RPC also made the bucket's home and chain anew. Result: the test passes, all 441 in virtual time and on loopback.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -687,7 +687,7 @@
 
     def _heavy(self, b: Bucket) -> None:  # Danger: one key is more than its cache can do
         b.seen, self.seen = b.seen + 1, self.seen + 1
-        wide = SPREAD * self.size * (b.seen - 1 - b.seen**0.5) / max(self.seen, RECALL / 4)
+        wide = SPREAD * self.size * max(0.0, b.seen - 1 - b.seen**0.5) / max(self.seen, RECALL / 4)
         if b.home and (wide > max(1.5 * b.wide, b.home.size) or wide < b.wide / 4):
             b.wide = wide
             self._home(b)
