--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -291,7 +291,8 @@
         if outcome <= Outcome.MISS:
             self._answered(tx, took, outcome == Outcome.COMPLETED)
         elif outcome == Outcome.FULL:
-            s.answered_at, s.boost, s.heard = now, 1.0, s.heard + 1
+            # Danger: what warm servers refuse, taken for what they can do, pushes the cold ones over.
+            s.answered_at, s.boost, s.heard, s.sent = now, 1.0, s.heard + 1, s.sent - 1
             s.latency += (rpc.method.soft_ms - s.latency) * 0.1
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
             # Danger: a server that refuses after failures died and comes back cold, maybe unannounced.
@@ -422,8 +423,7 @@
                 if not tx.done:  # Danger: an answer that stands unread here taken for its server's silence
                     heapq.heappush(self.wakes, (anew, self._count(), rpc, tx))
             elif not (tx.done or tx.counted or tx.server is self.origin and tx.server.answered_at < tx.sent):
-                # Danger: a server that takes work and answers none looks idle. Silence since the send counts,
-                # once for all that are out. And one answer lost on its way holds its RPC to the end.
+                # Danger: a server silent since the send looks idle; one lost answer holds its RPC to the end.
                 s, lost, tx.counted = tx.server, not any(t.counted for t in rpc.txs), True
                 if s.answered_at < tx.sent >= s.struck_at:
                     self._strike(s)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -255,6 +255,19 @@
     raise AssertionError("nothing was sent there")
 
 
+def test_what_warm_servers_refuse_is_no_part_of_what_a_cold_one_gets() -> None:
+    # Danger: in overload most of what warm servers are sent comes back full; a cold one sent as much falls over.
+    f, done = fleet(4), 0
+    for i in range(1200):
+        rpc = f.arrive(f"k{i}")
+        while rpc in f.open:
+            at_cache = f.txs[rpc][-1]["server"] != "o1"
+            done += at_cache and i % 6 == 0
+            f.end(rpc, Outcome.FULL if at_cache and i % 6 else Outcome.COMPLETED)
+        f.pass_time(10.0)
+    assert 0 < f.node.warm_rate < 2 * done / 12 / 4  # RPCs a second at each cache
+
+
 def test_a_key_too_heavy_for_its_cache_is_spread_by_each_nodes_own_draw() -> None:
     # Danger: no move of whole buckets helps a cache whose one key is more than it can do.
     taken = set[str]()
