--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -256,7 +256,7 @@
 
 
 def test_what_warm_servers_refuse_is_no_part_of_what_a_cold_one_gets() -> None:
-    # Danger: in overload most of what warm servers are sent comes back full; a cold one sent as much falls over.
+    # Danger: in overload most of what is sent comes back full; a cold one sent as much falls over.
     f, done = fleet(4), 0
     for i in range(1200):
         rpc = f.arrive(f"k{i}")
