Lab: a process is replaced beside its old one, crowds, slow heads, values in pieces; figures held

Now a listening socket is the kernel's and processes at one address share it; node_upgrade, crowd, slow_heads, pieces are faults, large values and slow readers part of the traffic; the judge has rules figures and head.

--- a/hookpitch/lab/experiment.py
+++ b/hookpitch/lab/experiment.py
@@ -57,9 +57,13 @@
     "suspend",
     "node_drain",
     "callers",
+    "node_upgrade",
+    "crowd",
+    "slow_heads",
+    "pieces",
 )
-ON_SERVERS = (*FAULTS[:11], "suspend")
-ON_NODES = ("node_kill", "node_leave", "node_pause", "node_slow", "node_drain")
+ON_SERVERS = (*FAULTS[:11], "suspend", "pieces")
+ON_NODES = ("node_kill", "node_leave", "node_pause", "node_slow", "node_drain", "node_upgrade")
 
 
 class Strict(
@@ -116,7 +120,8 @@
 
 
 class Traffic(Strict):
-    """`rate`: RPCs a second over all nodes."""
+    """`rate`: RPCs a second over all nodes. `large`: the part of the keys whose values have `large_kb`;
+    `slow_readers`: the part of the connections that read in small pieces, with pauses."""
 
     rate: float = 200.0
     keys: int = 1000
@@ -126,6 +131,9 @@
     leaving: float = 0.0
     fresh: float = 0.0
     connections: int = 200
+    large: float = 0.0
+    large_kb: float = 256.0
+    slow_readers: float = 0.0
 
 
 class Net(Strict):
--- a/hookpitch/lab/judge.py
+++ b/hookpitch/lab/judge.py
@@ -13,6 +13,9 @@
 
 SLACK_MS = 50.0
 CALL_MS = 1000.0  # that an operator waits
+HEAD_MS = 2000.0  # that a client may take to write its request
+FIGURE_OFF, FIGURE_PART = 3, 0.01  # by so many, or by such a part, a node's figure may be off
+FIGURES = {"completed": "completed", "exhausted": "rejected", "errored": "failed"}  # as clients see them
 BUSY_RPCS = 200  # sent by a node in the time in which it must use a server that was called back
 
 
@@ -154,6 +157,41 @@
         if since < float("inf") and until - since > self.rules.overlap_ms and not self.rules.second_copies:
             self._say("second copy", since, rpc, f"sent again while it was still out at {server}")
 
+    # ---- figures
+
+    def figures(self, history: History, told: Mapping[str, Mapping[str, int]]) -> list[Broken]:
+        """What nodes counted, by node, all its processes together, against what clients and servers saw. What
+        a client abandoned may be counted or not, and what was cut off on its way to a server."""
+        method = {e.rpc: e.what for e in history.events if e.kind == "asked"}
+        seen: dict[tuple[str, str], int] = {}  # node, figure
+        abandoned: dict[tuple[str, str], int] = {}  # node, method: RPCs with no answer that a client saw
+        came, cut = dict[str, int](), dict[str, int]()
+
+        def one(counts: dict, key: object, by: int = 1) -> None:
+            counts[key] = counts.get(key, 0) + by
+
+        for e in history.events:
+            if e.kind == "asked":
+                one(abandoned, (e.who, e.what))
+            elif e.kind == "answered" and e.what in FIGURES and e.rpc in method:
+                one(abandoned, (e.who, method[e.rpc]), -1)
+                one(seen, (e.who, f"{FIGURES[e.what]}.{method[e.rpc]}"))
+            elif e.kind in ("came", "closed"):
+                one(came if e.kind == "came" else cut, e.what if e.kind == "came" else e.who)
+        broken = []
+        for node, counts in sorted(told.items()):
+            rows = [("upstream_requests", came.get(node, 0), 2 * FIGURE_PART, cut.get(node, 0))]
+            for of in sorted(set(method.values())):
+                for kind in FIGURES.values():
+                    left = abandoned.get((node, of), 0)
+                    rows.append((f"{kind}.{of}", seen.get((node, f"{kind}.{of}"), 0), FIGURE_PART, left))
+            for name, there, part, more in rows:
+                said, off = counts.get(name, 0), max(FIGURE_OFF, part * there)
+                if not there - off <= said <= there + off + more:
+                    why = f"{node} counted {name} {said}, the others saw {there} and at most {more} more"
+                    broken.append(Broken("figures", 0.0, "", why))
+        return broken
+
     # ---- servers
 
     def _servers(self, history: History) -> None:
@@ -191,6 +229,9 @@
             elif e.kind == "back":
                 by_hand.pop((e.who, e.what), None)
                 back.append((e.who, e.what, e.at))
+            elif e.kind == "cut":
+                if not self._excused(e.who, e.at - HEAD_MS, e.at):
+                    self._say("head", e.at, "", f"{e.who} closed an honest client that was still writing")
             elif e.kind == "held":
                 self._say("drain", e.at, "", f"{e.who} holds {e.value:.0f} clients' connections in a drain")
             elif e.kind == "call" and e.what != "well":
--- a/hookpitch/lab/run.py
+++ b/hookpitch/lab/run.py
@@ -7,22 +7,25 @@
 
 from __future__ import annotations
 
+import os
 import random
+import tempfile
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
+from zlib import crc32
 
 from hookpitch.core.counters import Counters
 from hookpitch.lab.experiment import Experiment, Fault
 from hookpitch.lab.judge import Broken, Judge, Rules
 from hookpitch.lab.virtual import End, Machine, World
 from hookpitch.net.clock import Clock
-from hookpitch.net.node import SocketNode
+from hookpitch.net.node import BACKLOG, SocketNode
 from hookpitch.net.start import read_post
 from hookpitch.standin.cache import Make
 from hookpitch.standin.cache_server import CacheServer
 from hookpitch.standin.calls import Calls
-from hookpitch.standin.crowd import Crowd, Keys, Kind, Manner, Rudes
+from hookpitch.standin.crowd import Crowd, Keys, Kind, Manner, Rudes, SlowHeads
 from hookpitch.standin.discovery import Directory, Listed
 from hookpitch.standin.history import History
 from hookpitch.standin.origin import Origin, OriginMake
@@ -35,6 +38,9 @@
 ASKED_S = 0.3  # and after so long that a drained one says no
 DRAINED_S = 4.0  # after which a drained node holds no client's connection
 FRONT_S = 3.0  # a front notices after so long that a node has died
+READY_S = 6.0  # by then a new process beside an old one serves
+LOOK_S = 0.1  # between two looks at whether it does
+ENDED_S = 0.7  # past its longest deadline, an old process is killed
 
 
 class _Log:
@@ -74,27 +80,69 @@
         self.machine.event_cost = run.x.nodes.event_us / 1e6
         self.starts = 0
         self.node: SocketNode | None = None
+        self.elder: SocketNode | None = None  # the process before it, while it still serves
         self.counters = Counters()
+        # Where an upgrade is due, the socket is the platform's and every process inherits it.
+        self.upgraded = any(f.what == "node_upgrade" and f.whom == name for f in run.x.fault)
+        if self.upgraded:
+            self.machine.hand_down(run.descriptor, NODE_PORT, BACKLOG)
+        self.door = DOOR_PORT
 
     def start(self) -> None:
         run, self.starts = self.run, self.starts + 1
         run.history.add(run.now(), "start", self.name)
-        reactor = self.machine.start()
+        machine, self.door = self.machine, DOOR_PORT + self.starts - 1
+        reactor = machine.start()
         top = run.told(self, f"10.2.0.1:{DISCOVERY_PORT}")
-        told = read_post(top | {"management": f"{self.address}:{DOOR_PORT}"}, {})
+        told = read_post(top | {"management": f"{self.address}:{self.door}"}, {})
+        if self.upgraded:
+            process = f"{self.starts}"
+            told = replace(told, inherited=run.descriptor, shared=run.folder.name, process=process)
         world, self.counters = run.world, Counters()
         clock = Clock(reactor, reactor.seconds, lambda: world.epoch + world.now)
-        self.node = SocketNode(
-            reactor, clock, told, self.counters, _Log(run, self.name), lambda: self.machine.used
-        )
+        log = _Log(run, self.name)
+        self.node = SocketNode(reactor, clock, told, self.counters, log, lambda: machine.used)
         self.node.start()
 
+    def upgrade(self) -> None:
+        """A second process beside the first, which gets SIGTERM once the new one says yes."""
+        if self.node is None or self.elder is not None:
+            return
+        old, machine, counters = self.node, self.machine, self.counters
+        self.elder, self.machine = old, machine.beside()
+        self.start()
+        self._when_ready(old, machine, counters, self.run.now() + READY_S * 1000)
+
+    def _when_ready(self, old: SocketNode, machine: Machine, counters: Counters, latest: float) -> None:
+        run = self.run
+        if self.node is None:
+            return
+        if self.node.ready():
+            if run.now() > latest:
+                run.history.add(run.now(), "call", self.name, what="late: a new process says no for 6 s")
+            run.world.at(run.world.now + LOOK_S, None, self._when_ready, old, machine, counters, latest)
+            return
+
+        def ended() -> None:
+            if self.elder is old:
+                self.elder = None
+                run.counted(self, counters)
+                machine.kill()
+
+        machine.reactor.stopped = lambda: run.world.at(run.world.now, None, ended)
+        old.leave()
+        run.world.at(run.world.now + old.host.patience / 1000 + ENDED_S, None, ended)
+
     def kill(self) -> None:
         self.run.history.add(self.run.now(), "stop", self.name)
-        self.run.counted(self)
+        self.run.counted(self, self.counters)
         self.machine.kill()
         self.node = None
 
+    def processes(self) -> list[SocketNode]:
+        """Those that serve now, the elder first."""
+        return [one for one in (self.elder, self.node) if one is not None]
+
 
 class Run:
     """One run of one experiment with one seed."""
@@ -137,10 +185,14 @@
     def _build(self) -> None:
         x, world = self.x, World(self.seed)
         self.world = world
+        # What the processes of one node share outside of the world: a descriptor's number and a folder.
+        self.descriptor = os.open(os.devnull, os.O_RDONLY)
+        self.folder = tempfile.TemporaryDirectory(prefix="hookpitch-lab-")
         world.closed, world.unheard = self._closed, self._unheard
         world.plain.delay, world.plain.jitter = x.net.delay_ms / 1000, x.net.jitter_ms / 1000
         web = world.machine("10.2.0.2").reactor
         self.origin_server = OriginServer(self.origin, web, self.history, self.chance, self._whose, 0.0)
+        self.origin_server.size_of = self.size_of
         web.listenTCP(ORIGIN_PORT, self.origin_server, interface="10.2.0.2", backlog=4096)
         there = world.machine("10.2.0.1").reactor
         self.discovery = DiscoveryServer(self.directory, there, self.history, self._whose, 0.0)
@@ -162,7 +214,7 @@
     def _clients(self, reactor: Any, port: int, begun: float) -> Crowd:
         t = self.x.traffic
         kinds = [Kind(m.name, m.share, m.wait_ms or m.hard_ms, m.write, m.size) for m in self.x.method]
-        manner = Manner(t.tries, t.pause_ms, t.leaving, t.fresh, t.connections)
+        manner = Manner(t.tries, t.pause_ms, t.leaving, t.fresh, t.connections, t.slow_readers)
         dials = {name: (node.address, port) for name, node in self.nodes.items()}
         return Crowd(reactor, self.history, self.seed, dials, kinds, self.keys, t.rate, manner, begun)
 
@@ -191,10 +243,16 @@
         make = self.make(f.speeds[n % len(f.speeds)])
         reactor = self.world.machine(address).reactor
         server = CacheServer(name, make, reactor, self.history, self.origin, self.chance, self._whose, 0.0)
+        server.size_of = self.size_of
         self.servers[name] = server
         server.start([address], CACHE_PORT, cold)
         self.list_server(name, n, cold)
 
+    def size_of(self, key: str) -> int:
+        """Bytes of a key's value; 0 for a small one."""
+        t = self.x.traffic
+        return int(t.large_kb * 1024) if crc32(key.encode()) % 1000 < 1000 * t.large else 0
+
     def dial(self, name: str) -> str:
         """Where a server is dialled, as discovery has it."""
         return f"{self.addresses[name]}:{CACHE_PORT}"
@@ -270,9 +328,10 @@
     def rules(self) -> Rules:
         return Rules(retriable={m.name: m.idempotency == "retryable" for m in self.x.method})
 
-    def counted(self, node: Node) -> None:
+    def counted(self, node: Node, counters: Counters) -> None:
+        """A process of the node has ended; what it counted is added to what those before it did."""
         mine = self.counters.setdefault(node.name, {})
-        for name, count in node.counters.counts.items():
+        for name, count in counters.counts.items():
             mine[name] = mine.get(name, 0) + count
 
     # ---- running
@@ -289,8 +348,12 @@
         longest = max(m.hard_ms for m in x.method) / 1000
         world.run(end + longest + SETTLE_S)
         for node in self.nodes.values():
-            self.counted(node)
-        broken = Judge(self.rules()).judge(self.history, self.now())
+            if node.node is not None:  # of one that was killed, the figures were taken then
+                self.counted(node, node.counters)
+        os.close(self.descriptor)
+        self.folder.cleanup()
+        judge = Judge(self.rules())
+        broken = judge.judge(self.history, self.now()) + judge.figures(self.history, self.counters)
         for name, mine in self.counters.items():
             for counter in sorted(mine):
                 if counter.startswith("broken.") or counter == "faults":
@@ -552,7 +615,8 @@
         """By hand, at all nodes, and back at the end; after `by` seconds (1) the server is restarted."""
         run, server = self.run, self.fault.whom
         for node in run.nodes.values():
-            if node.node is not None and not node.node.suspend(server):
+            # While two processes are one node, either may be called.
+            if node.node is not None and not run.chance.choice(node.processes()).suspend(server):
                 run.history.add(run.now(), "banned", node.name, what=server)
         run.world.at(run.world.now + (self.fault.by or 1.0), None, self._restarted)
 
@@ -563,15 +627,35 @@
     def suspend_ends(self) -> None:
         run, server = self.run, self.fault.whom
         for node in run.nodes.values():
-            if node.node is not None and not node.node.restore(server):
+            if node.node is not None and not run.chance.choice(node.processes()).restore(server):
                 run.history.add(run.now(), "back", node.name, what=server)
 
     def callers(self) -> None:
         """Operators' calls, some good and some not, at every node's door, and callers that say nothing."""
         for name, node in self.run.nodes.items():
-            calls = Calls(self.run.crowd.reactor, self.run.history, name, (node.address, DOOR_PORT))
+            calls = Calls(self.run.crowd.reactor, self.run.history, name, (node.address, node.door))
             calls.start(self.fault.lasting or 1.0, self.fault.by or 5.0)
 
+    def node_upgrade(self) -> None:
+        self.node.upgrade()
+
+    def crowd(self) -> None:
+        """`by` connections a second that never finish a request, and stay."""
+        self._rudes(Rudes(self.run.crowd, self.fault.by or 100.0, unfinished=True))
+
+    def slow_heads(self) -> None:
+        """`by` honest clients a second that take up to 1.8 s to write their request."""
+        SlowHeads(self.run.crowd, self.fault.by or 5.0).start(self.fault.lasting or 1.0)
+
+    def pieces(self) -> None:
+        """Answers are written `by` bytes at a time (4096), with a pause between."""
+        for server in self.servers:
+            server.piece = int(self.fault.by or 4096)
+
+    def pieces_ends(self) -> None:
+        for server in self.servers:
+            server.piece = 0
+
     def node_pause(self) -> None:
         span = self.fault.lasting or 0.3
         self.run.history.add(self.run.now(), "away", self.fault.whom, value=span * 1000)
@@ -598,7 +682,9 @@
         self.run.keys.hot = 0.0
 
     def rude(self) -> None:
-        rudes = Rudes(self.run.crowd, self.fault.by or 20.0)
+        self._rudes(Rudes(self.run.crowd, self.fault.by or 20.0))
+
+    def _rudes(self, rudes: Rudes) -> None:
         self.run.rudes.append(rudes)
         rudes.start(self.fault.lasting or 1.0)
 
--- a/hookpitch/lab/virtual.py
+++ b/hookpitch/lab/virtual.py
@@ -273,11 +273,14 @@
 
 
 class Machine:
-    """One address, its processes' listeners and descriptors, and its part of a core."""
+    """One address and one process there: its descriptors and its part of a core. A second process at the same
+    address is a `Machine` of its own, made by `beside`: the kernel's listening sockets are common to both."""
 
     def __init__(self, world: World, address: str, descriptors: int = 1 << 20) -> None:
         self.world, self.address, self.descriptors = world, address, descriptors
-        self.listeners: dict[int, Port] = {}
+        self.listeners: dict[int, Listening] = {}  # the kernel's, of all processes here
+        self.handed: dict[int, Listening] = {}  # by descriptor: handed down to every process here
+        self.ports: dict[Port, None] = {}  # this process's
         self.ends: dict[End, None] = {}
         self.dials: dict[Connector, None] = {}
         self.present, self.running = True, True
@@ -286,12 +289,23 @@
         self.event_cost = 0.0  # seconds of CPU that each of its events takes
         self.waiting: deque[tuple[Call, int]] = deque()  # events that were due while it was not free
         self._waking = False
-        self._port = 40000
+        self._ports = [40000]
         self.reactor = Reactor(self)
 
     @property
     def held(self) -> int:
-        return len(self.ends) + len(self.dials) + len(self.listeners)
+        return len(self.ends) + len(self.dials) + len(self.ports)
+
+    def beside(self) -> Machine:
+        """Another process at this address, with descriptors and a part of a core of its own."""
+        other = Machine(self.world, self.address, self.descriptors)
+        other.listeners, other.handed, other._ports = self.listeners, self.handed, self._ports
+        other.event_cost = self.event_cost
+        return other
+
+    def hand_down(self, descriptor: int, port: int, backlog: int) -> None:
+        """A socket listens that no process here owns; each can adopt it, and it outlasts them all."""
+        self.handed[descriptor] = self.listeners[port] = Listening(self.world, port, backlog, kept=True)
 
     def spend(self, seconds: float) -> None:
         """The event that is on takes so much of the CPU: what comes next waits."""
@@ -326,7 +340,8 @@
             end.drop(reset=True)
         for dial in list(self.dials):
             dial.forget()
-        self.listeners.clear()
+        for port in list(self.ports):
+            port.close()
         self.reactor = Reactor(self)
 
     def start(self) -> Reactor:
@@ -345,8 +360,8 @@
             end.drop(reset=True, told=True)
 
     def port(self) -> int:
-        self._port += 1
-        return self._port
+        self._ports[0] += 1
+        return self._ports[0]
 
 
 class Reactor:
@@ -369,10 +384,11 @@
             port = self.machine.port()
         if port in self.machine.listeners:
             raise CannotListenError(interface, port, OSError(errno.EADDRINUSE, "address in use"))
-        made = Port(self.machine, port, factory, backlog)
-        self.machine.listeners[port] = made
-        factory.doStart()
-        return made
+        listening = self.machine.listeners[port] = Listening(self.world, port, backlog)
+        return Port(self.machine, listening, factory)
+
+    def adoptStreamPort(self, fileno: int, family: int, factory: Any) -> Port:  # noqa: ANN401, N802
+        return Port(self.machine, self.machine.handed[fileno], factory)
 
     def connectTCP(
         self,
@@ -389,33 +405,56 @@
     def stop(self) -> None:
         self.running = False
         self.machine.running = False
+        if self.stopped is not None:
+            self.stopped()
+
+    stopped: Callable[[], None] | None = None  # told when the process ends by itself
 
     def addSystemEventTrigger(self, *args: object) -> None:  # noqa: N802
         pass
 
 
+class Listening:
+    """A listening socket in the kernel: what it has accepted waits for one of the processes that hold it."""
+
+    def __init__(self, world: World, port: int, backlog: int, kept: bool = False) -> None:
+        """`kept`: somebody holds it beside the processes that read it, so it outlasts them."""
+        self.world, self.port, self.backlog, self.kept = world, port, backlog, kept
+        self.line: deque[End] = deque()
+        self.ports: list[Port] = []
+
+    def arrived(self, end: End) -> None:
+        end.machine.ends.pop(end)  # no process's descriptor yet
+        self.line.append(end)
+        for port in self.ports:  # all wake, the first takes it
+            self.world.at(self.world.now, port.machine, port.doRead)
+
+
 class Port:
-    """A listening socket."""
+    """A process's hold on a listening socket."""
 
-    def __init__(self, machine: Machine, port: int, factory: Any, backlog: int) -> None:  # noqa: ANN401
-        self.machine, self.port, self.factory, self.backlog = machine, port, factory, backlog
-        self.line: deque[End] = deque()  # accepted by the kernel, not yet by the program
+    def __init__(self, machine: Machine, listening: Listening, factory: Any) -> None:  # noqa: ANN401
+        self.machine, self.listening, self.factory = machine, listening, factory
         self.sessionno = 0
+        machine.ports[self] = None
+        listening.ports.append(self)
+        for _ in listening.line:  # accepted while nobody read
+            machine.world.at(machine.world.now, machine, self.doRead)
+        factory.doStart()
 
     def getHost(self) -> IPv4Address:  # noqa: N802
-        return IPv4Address("TCP", self.machine.address, self.port)
-
-    def arrived(self, end: End) -> None:
-        self.line.append(end)
-        self.machine.world.at(self.machine.world.now, self.machine, self.doRead)
+        return IPv4Address("TCP", self.machine.address, self.listening.port)
 
     def doRead(self) -> None:  # noqa: N802
         """Take one connection that the kernel has accepted."""
-        if not self.line:
+        line, machine = self.listening.line, self.machine
+        if not line or self not in machine.ports:
             return
-        end, machine = self.line.popleft(), self.machine
+        end = line.popleft()
         if end.over:
             return
+        end.machine = machine
+        machine.ends[end] = None
         self.sessionno += 1
         if machine.held > machine.descriptors:
             end.drop(reset=False)  # Twisted's way out of EMFILE: accept and close
@@ -426,11 +465,20 @@
             return
         end.open(protocol)
 
+    def close(self) -> None:
+        """Where nobody else holds the socket, what the kernel had accepted is reset with it."""
+        listening = self.listening
+        self.machine.ports.pop(self, None)
+        listening.ports.remove(self)
+        if not listening.ports and not listening.kept:
+            self.machine.listeners.pop(listening.port, None)
+            while listening.line:
+                listening.line.popleft().drop(reset=True)
+
     def stopListening(self) -> None:  # noqa: N802
-        self.machine.listeners.pop(self.port, None)
-        while self.line:  # what the kernel had accepted is reset with the port
-            self.line.popleft().drop(reset=True)
-        self.factory.doStop()
+        if self in self.machine.ports:
+            self.close()
+            self.factory.doStop()
 
 
 class Connector:
@@ -467,7 +515,7 @@
             return  # nobody answers
         port = there.listeners.get(self.port)
         refusing = world.link(self.machine.address, self.host).refusing
-        if port is None or refusing or not there.running:
+        if port is None or refusing:
             world.send(self.host, self.machine.address, 60, self._refused)
             return
         if len(port.line) >= port.backlog:
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -168,7 +168,7 @@
 
     def _share(self) -> None:
         try:
-            self.shared = Handover(self.post.shared, self.post.name, self.logger.info)
+            self.shared = Handover(self.post.shared, self.post.name, self.logger.info, self.post.process)
         except OSError as fault:
             # Danger: without the file a ban does not outlast this process. That is told, and the node serves.
             self.logger.info(f"nothing is shared with another process of this node: {fault}")
--- a/hookpitch/net/start.py
+++ b/hookpitch/net/start.py
@@ -34,6 +34,7 @@
     management: tuple[str, int] | None = None  # the operators' door; None where neither place names one
     inherited: int | None = None  # the descriptor of the clients' listening socket, if inherited
     shared: str = ""  # a folder that this node's processes share
+    process: str = ""  # what tells this process from the node's others; its number, where nothing is said
     fixed: Mapping[str, Any] = field(default_factory=dict)  # as the file had what only a restart changes
 
 
--- a/hookpitch/standin/cache_server.py
+++ b/hookpitch/standin/cache_server.py
@@ -21,6 +21,7 @@
 from hookpitch.standin.origin import Origin
 
 COMMANDS = {b"OBJ.GET": 4, b"OBJ.SET": 5}
+PIECE_S = 0.002  # between two pieces of an answer
 AT_ONCE = 8  # RPCs of a connection that are begun, one behind the other
 RUBBISH = (
     b"$7\r\nshort\r\n",
@@ -38,6 +39,7 @@
         self.server, self.ring = server, Ring()
         self.parser = Parser(self.ring, commands_only=True)
         self.due: deque[list[Any]] = deque()  # [job or None, answer or None]
+        self.pieces: deque[bytes] = deque()  # of answers: the first is on its way, the others wait
         self.counted = False
         self.node = ""
 
@@ -85,12 +87,33 @@
 
     def flush(self) -> None:
         while self.due and self.due[0][1] is not None:
-            self.transport.write(self.due.popleft()[1])
+            self.write(self.due.popleft()[1])
         if len(self.due) < AT_ONCE and len(self.ring) and not self.parser.between:
             self.dataReceived(b"")
 
+    def write(self, data: bytes) -> None:
+        """At once; or in small pieces, each `PIECE_S` after the one before."""
+        if not self.server.piece and not self.pieces:
+            self.transport.write(data)
+            return
+        size, idle = self.server.piece or len(data), not self.pieces
+        self.pieces.extend(data[at : at + size] for at in range(0, len(data), size))
+        if idle:
+            self.write_next()
+
+    def write_next(self) -> None:
+        if self.pieces and self.transport.connected:
+            self.transport.write(self.pieces[0])
+            self.server.reactor.callLater(PIECE_S, self.written)
+
+    def written(self) -> None:
+        if self.pieces:
+            self.pieces.popleft()
+            self.write_next()
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         server = self.server
+        self.pieces.clear()
         server.connections.pop(self, None)
         if self.counted and server.process is not None:
             server.process.disconnected()
@@ -124,6 +147,8 @@
         self.connections: dict[Connection, None] = {}
         self.places: dict[Job, tuple[list[Any], Connection]] = {}
         self.mood, self.part, self.draining = "well", 1.0, False
+        self.piece = 0  # bytes written at a time; 0: an answer at once
+        self.size_of: Callable[[str], int] = lambda key: 0  # bytes of a key's value
         self.ports: list[Any] = []
         self._timer: Any = None
         self._timer_at = FAR
@@ -190,7 +215,7 @@
                 self.origin.miss(job.rpc, process)
             if self.mood == "mute" and self.chance.random() < self.part:
                 continue
-            made = bulk(value(job.rpc, job.key, self.name) if how == "hit" else None)
+            made = bulk(value(job.rpc, job.key, self.name, self.size_of(job.key)) if how == "hit" else None)
             self.answer(job, b"*3\r\n" + made + bulk(how.encode()) + bulk(process.report(now).encode()), how)
         self.arm()
 
--- a/hookpitch/standin/crowd.py
+++ b/hookpitch/standin/crowd.py
@@ -19,7 +19,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from hookpitch.core.resp import Fault, Malformed, Parser, command
+from hookpitch.core.resp import VALUE_MOST, Fault, Malformed, Parser, command
 from hookpitch.core.ring import Ring
 from hookpitch.standin.history import History
 
@@ -31,7 +31,15 @@
     b"*4\r\n$7\r\nOBJ.GET\r\n$3\r\nabcdef\r\n",
     b"*2000000\r\n",
 )
+UNFINISHED = (
+    b"*4\r\n$7\r\nOBJ.GET\r\n$3\r\nk",
+    b"*4\r\n",
+    b"*5\r\n$7\r\nOBJ.SET\r\n$3\r\nkey\r\n$2\r\nr1\r\n$6\r\nc=read\r\n$500000\r\nww",
+)
 GRACE_MS = 300.0  # past its patience, a client closes the connection
+READ_PAUSE_S = 0.004  # of a slow reader, after each piece
+HEAD_PARTS = 8
+HEAD_MS = 1800.0  # the longest that an honest client takes for its request: the node owes it 2 s
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +62,7 @@
     leaving: float = 0.0  # the part that closes its connection halfway through its patience
     fresh: float = 0.0  # the part that opens a connection of its own and closes it after
     most: int = 200  # connections to a node
+    slow: float = 0.0  # the part of connections that pause after each piece they read
 
 
 class Keys:
@@ -88,6 +97,7 @@
         self.due: deque[Asked] = deque()
         self.first = asked
         self.lost, self.port = False, 0
+        self.slow = crowd.manner.slow > 0 and crowd.chance.random() < crowd.manner.slow
 
     def connectionMade(self) -> None:  # noqa: N802
         self.port = self.transport.getHost().port
@@ -116,9 +126,12 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self.ring.write(data)
+        if self.slow:
+            self.transport.pauseProducing()
+            self.crowd.reactor.callLater(READ_PAUSE_S, self.read_on)
         try:
             while True:
-                found, answer = self.parser.next()
+                found, answer = self.large() or self.parser.next()
                 if not found:
                     return
                 if not self.due:
@@ -128,6 +141,21 @@
         except Malformed:
             self.transport.loseConnection()
 
+    def large(self) -> tuple[bool, bytes | None] | None:
+        """A value too large for the parser, once it is whole; None where something else comes next."""
+        head = self.ring.peek(16)
+        end = head.find(b"\r\n")
+        if head[:1] != b"$" or not head[1:end].isdigit() or int(head[1:end]) <= VALUE_MOST:
+            return None
+        whole = end + 2 + int(head[1:end]) + 2
+        if len(self.ring) < whole:
+            return False, None
+        return True, self.ring.read(whole)[end + 2 : -2]
+
+    def read_on(self) -> None:
+        if not self.lost:
+            self.transport.resumeProducing()
+
     def answered(self, asked: Asked, answer: object) -> None:
         crowd = self.crowd
         asked.open = False
@@ -282,12 +310,14 @@
 
 
 class Rudes(ClientFactory):
-    """Bad clients: `per_s` new ones a second, each with rubbish, or (a third) with nothing to say."""
+    """Bad clients: `per_s` new ones a second, each with rubbish, or (a third) with nothing to say.
+    `unfinished`: in place of rubbish, the begin of a request that never ends."""
 
     noisy = False
 
-    def __init__(self, crowd: Crowd, per_s: float) -> None:
+    def __init__(self, crowd: Crowd, per_s: float, unfinished: bool = False) -> None:
         self.crowd, self.per_s, self.until = crowd, per_s, 0.0
+        self.said = UNFINISHED if unfinished else RUBBISH
         self.chance = random.Random(crowd.count + 7)
         self.kept_ms: list[float] = []
 
@@ -302,10 +332,66 @@
             self.crowd.reactor.callLater(self.chance.expovariate(self.per_s), self._next)
 
     def buildProtocol(self, addr: object) -> Rude:  # noqa: N802
-        return Rude(self, b"" if self.chance.random() < 1 / 3 else self.chance.choice(RUBBISH))
+        return Rude(self, b"" if self.chance.random() < 1 / 3 else self.chance.choice(self.said))
 
     def ended(self, kept_ms: float) -> None:
         self.kept_ms.append(kept_ms)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: ANN401, N802
         pass
+
+
+class SlowHead(Caller):
+    """An honest client that writes on without a stop, a few bytes at a time: its RPC counts as asked with the
+    last of them."""
+
+    def ask(self, asked: Asked) -> None:
+        words = ("OBJ.GET", asked.key, asked.rpc, f"c={asked.kind.name},d={asked.kind.wait_ms:.0f}")
+        text = command(*(word.encode() for word in words))
+        span, parts = self.crowd.chance.random() * HEAD_MS / 1000, HEAD_PARTS
+        for n in range(parts):
+            piece = text[len(text) * n // parts : len(text) * (n + 1) // parts]
+            self.crowd.reactor.callLater(span * n / (parts - 1), self.rest, asked, piece, n == parts - 1)
+
+    def rest(self, asked: Asked, piece: bytes, last: bool) -> None:
+        crowd, left = self.crowd, asked.kind.wait_ms
+        if self.lost:
+            if last:
+                crowd.history.add(crowd.now(), "cut", self.node, what=asked.rpc)
+            return
+        self.transport.write(piece)
+        if last:
+            self.due.append(asked)
+            asked.at = crowd.now()
+            crowd.history.add(asked.at, "asked", self.node, asked.rpc, asked.kind.name, left, self.port)
+            crowd.reactor.callLater((left + GRACE_MS) / 1000, self.give_up, asked)
+
+
+class SlowHeads:
+    """`per_s` of them a second, each on a connection of its own."""
+
+    def __init__(self, crowd: Crowd, per_s: float) -> None:
+        self.crowd, self.per_s, self.until = crowd, per_s, 0.0
+        self.chance = random.Random(crowd.count + 11)
+
+    def start(self, seconds: float) -> None:
+        self.until = self.crowd.now() + seconds * 1000
+        self._next()
+
+    def _next(self) -> None:
+        crowd = self.crowd
+        if crowd.now() >= self.until:
+            return
+        crowd.count += 1
+        kind = next(kind for kind in crowd.kinds if not kind.write)
+        node = self.chance.choice(crowd.in_use or list(crowd.nodes))
+        asked = Asked(f"q{crowd.count}", kind, crowd.keys.draw(self.chance), crowd.now(), crowd.manner.tries)
+        crowd.held[node] += 1
+        host, port = crowd.nodes[node]
+        crowd.reactor.connectTCP(host, port, _SlowDial(crowd, node, asked, True), timeout=3.0)
+        crowd.reactor.callLater(self.chance.expovariate(self.per_s), self._next)
+
+
+class _SlowDial(_Dial):
+    def buildProtocol(self, addr: object) -> SlowHead:  # noqa: N802
+        return SlowHead(self.crowd, self.node, self.asked, self.single)
--- a/hookpitch/standin/web.py
+++ b/hookpitch/standin/web.py
@@ -109,6 +109,7 @@
     ) -> None:
         self.origin, self.reactor, self.history, self.chance = origin, reactor, history, chance
         self.whose, self.begun, self.failing, self.name = whose, begun, 0.0, "origin"
+        self.size_of: Callable[[str], int] = lambda key: 0  # bytes of a key's value
         self.open: dict[Job, OriginConnection] = {}
         self._timer: Any = None
         self._timer_at = FAR
@@ -149,7 +150,7 @@
                 self.end(job, 500, b"failed", "error")
                 continue
             self.origin.answered(job.rpc, job.key, connection.write)
-            made = value(job.rpc, job.key, self.name)
+            made = value(job.rpc, job.key, self.name, self.size_of(job.key))
             self.end(job, 200, made, "stored" if connection.write else "fetched")
         self.arm()
 
