--- a/hookpitch/lab/experiment.py
+++ b/hookpitch/lab/experiment.py
@@ -259,6 +259,10 @@
         if fault.what in ON_NODES:
             known = {f"n{i}" for i in range(f.nodes.count)}
             bad(f"{place}.whom", fault.whom in known, f"no node is named '{fault.whom}'")
+        if fault.what in ("node_kill", "node_leave"):
+            # Nobody would hear what waits at a socket that outlasts its processes.
+            replaced = any(other.what == "node_upgrade" and other.whom == fault.whom for other in f.fault)
+            bad(f"{place}.whom", not replaced, f"'{fault.whom}' is replaced by node_upgrade")
     return found
 
 
--- a/hookpitch/lab/wall.py
+++ b/hookpitch/lab/wall.py
@@ -32,7 +32,10 @@
 CACHE_PORT, ORIGIN_PORT, DISCOVERY_PORT, NODE_PORT = 26379, 28080, 28500, 26380
 FIRST_NET = 10
 NODES_MOST = 100
-ONLY_VIRTUAL = ("vanish", "silence", "half_silence", "far", "node_slow", "suspend", "node_drain", "callers")
+ONLY_VIRTUAL = (
+    "vanish", "silence", "half_silence", "far", "node_slow", "suspend", "node_drain", "callers",
+    "node_upgrade",
+)  # fmt: skip
 READY_S = 20.0  # for all nodes to answer after their start
 
 
@@ -159,6 +162,7 @@
         server = CacheServer(
             name, make, self.reactor, self.history, self.origin, self.chance, self._whose, self.world.begun
         )
+        server.size_of = self.size_of
         self.servers[name] = server
         server.start(self.ways(name), CACHE_PORT, cold)
         self.list_server(name, n, cold)
--- a/hookpitch/standin/crowd.py
+++ b/hookpitch/standin/crowd.py
@@ -38,7 +38,7 @@
 )
 GRACE_MS = 300.0  # past its patience, a client closes the connection
 READ_PAUSE_S = 0.004  # of a slow reader, after each piece
-HEAD_PARTS = 8
+HEAD_PARTS = 12  # in which it is written, so that no pause reaches the 250 ms after which it may have to go
 HEAD_MS = 1800.0  # the longest that an honest client takes for its request: the node owes it 2 s
 
 
