--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -259,11 +259,11 @@
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
         # Danger: what stood unread here has that much less time; `grace` counts from when it came.
         rpc.until, rpc.aim = now + useful - age - self.margin, now + m.soft_ms - age - self.margin
-        share = self.shares.get(customer)  # Danger: RPCs over a share in the way of those within.
+        share = self.shares.get(customer)  # Danger: those over it in others' way, or lost to an idle fleet
         rpc.over = share is not None and share.spent(now)
         if share and not rpc.over:
             share.tokens -= 1
-        rpc.lost = rpc.over and self._chance() >= self.overage_gain
+        rpc.lost = rpc.over and self._chance() >= self.overage_gain + 1 - self.pressure / SHED_FROM
         low, width = self.bands.get(method, (0.0, 1.0))  # among the methods, by gain
         if self.shed > 0 and share is None and low + width * self._chance() < self.shed:
             rpc.lost = rpc.over = True
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -339,3 +339,15 @@
         f.end(rpc, Outcome.COMPLETED)
     moved = [b for b in f.node.buckets.values() if b.at is not b.home]
     assert moved and all(b.home.id == "s0" for b in moved)
+
+
+@pytest.mark.parametrize("pressure", [0.0, 1.0])
+def test_what_is_over_a_share_is_let_in_while_little_is_turned_away(pressure: float) -> None:
+    f = fleet(8, customers=(Customer("small", 1.0),), overage_gain=0.2, max_retry_after_ms=400.0)
+    f.node.pressure = pressure
+    for i in range(60):
+        rpc = f.arrive(f"k{i}", customer="small")
+        if rpc in f.open:
+            f.end(rpc, Outcome.COMPLETED)
+    turned = list(f.answers.values()).count("exhausted")
+    assert turned == 0 if pressure == 0 else turned > 30
