--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -8,12 +8,15 @@
 import pytest
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
+from hookpitch.core.counters import Counters
 from hookpitch.lab import fuzz
 from hookpitch.lab.experiment import load, read
 from hookpitch.lab.figures import expected, summary
 from hookpitch.lab.judge import Judge, Rules
 from hookpitch.lab.run import Run
 from hookpitch.lab.virtual import KERNEL, World
+from hookpitch.net.clients import Clients
+from hookpitch.net.handover import Handover
 from hookpitch.standin.history import History
 
 ROOT = Path(__file__).parent.parent
@@ -165,6 +168,60 @@
     assert [b.rule for b in Judge(Rules()).judge(history, 60000.0)] == ["unused", "drain"]
 
 
+def test_the_judge_holds_a_nodes_figures_against_what_others_saw_and_owes_a_slow_head_its_time() -> None:
+    history = History()
+    for n in range(10):
+        asked_at(history, 1000.0 + 20 * n, f"q{n}")
+    history.add(2000.0, "asked", NODE, "q99", "read", 500.0, 7)
+    history.add(2100.0, "left", NODE, "q99")  # it may be counted or not
+    for done, sent, broken in ((10, 10, 0), (13, 10, 0), (15, 10, 1), (6, 10, 1), (11, 14, 1), (10, 6, 1)):
+        told = {NODE: {"completed.read": done, "upstream_requests": sent}}
+        assert [b.rule for b in Judge(Rules()).figures(history, told)] == ["figures"] * broken, (done, sent)
+    history.add(3000.0, "cut", NODE)
+    assert [b.rule for b in Judge(Rules()).judge(history, 60000.0)] == ["head"]
+    assert not Judge(Rules(heads=False)).judge(history, 60000.0)
+
+
+UPGRADE = """
+name = "test-upgrade"
+seconds = 8.0
+[traffic]
+rate = 200.0
+fresh = 0.3
+[[fault]]
+at = 2.0
+what = "suspend"
+whom = "s1"
+for = 5.5
+[[fault]]
+at = 2.5
+what = "node_upgrade"
+whom = "n0"
+"""
+
+
+def leaves_its_clients(self: Clients, done: object) -> None:
+    for client in list(self.open):
+        client.transport.abortConnection()
+
+
+@pytest.mark.parametrize(("whose", "what", "fault", "rules"), [
+    (Handover, "news", lambda self: iter(()), {"rule 3"}),  # the new process knows nothing of the ban
+    (Clients, "leave", leaves_its_clients, {"rule 1"}),  # the old one ends its clients' connections
+    (Counters, "add", lambda self, name, by=1: None, {"figures"}),
+    (None, "", None, set()),
+])  # fmt: skip
+def test_an_upgrade_done_wrong_is_named_and_one_done_right_is_not(
+    whose: type | None, what: str, fault: object, rules: set[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if whose is not None:
+        monkeypatch.setattr(whose, what, fault)
+    run = Run(read(UPGRADE), 1)
+    ended = run.run()
+    assert {b.rule for b in ended.broken} == rules, str(ended.broken[:1])
+    assert run.nodes["n0"].starts == 2 and run.nodes["n0"].elder is None  # the old one has gone
+
+
 # ---- files
 
 
@@ -176,6 +233,8 @@
     ("name = 'a-b'\n[[fault]]\nat = 99.0\nwhat = 'crash'\nwhom = 's0'", r"fault\[0\].at: wants 0 to"),
     ("name = 'a-b'\n[[fault]]\nat = 1.0\nwhat = 'crash'\nwhom = 's77'", r"fault\[0\].whom: no server"),
     ("name = 'a-b'\n[[method]]\nname = 'r'\nhard_ms = 1.0", r"method\[0\].hard_ms"),
+    ("name = 'a-b'\n[[fault]]\nat = 1.0\nwhat = 'node_kill'\nwhom = 'n0'\n[[fault]]\nat = 2.0\n"
+     "what = 'node_upgrade'\nwhom = 'n0'", r"fault\[0\].whom: 'n0' is replaced"),
     ("name = 'a-b'\nexpect = ['served > 1']", r"expect\[0\]: 'served > 1' is not"),
     ("name = 'a-b'\nexpect = ['joy >= 1']", r"expect\[0\]: 'joy' is none of"),
     ("name = 'a-b'\nexpect = ['served >= 1 within 2 s of the end of fault 0']", r"expect\[0\]: there is no"),
