--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -548,9 +548,9 @@
     def _eased(self, s: Server, m: Method) -> bool:  # it takes what it is sent, at once, and could take more
         return s.ok and max(START_LIMIT, 2 * len(s.live)) < s.limit and s.latency < TARGET * m.soft_ms / 2
 
-    def _room(self, s: Server) -> bool:  # a limit under one is kept by rests: one is out for part of the time
-        limit = s.limit * self.part if s is self.origin else s.limit  # Danger: two processes, asking for two
-        free = len(s.live) < max(1, int(limit)) and (limit >= 1 or self.now >= s.rest_until)
+    def _room(self, s: Server) -> bool:
+        # A limit under one is kept by rests: one transmission is out for that part of the time.
+        free = len(s.live) < max(1, int(s.limit)) and (s.limit >= 1 or self.now >= s.rest_until)
         return free and (self.now >= s.cold_until or self._cold_room(s))
 
     def _cold_room(self, s: Server) -> bool:
