A process that another follows closes idle connections by turns over 400 ms

To blame: `Clients.drain`, which at SIGTERM closes every idle connection in one turn, so a client that hears of hundreds of closes late still writes to some. Now they go by turns; one that is used meanwhile is served first. A test in memory fails on the code before. Stand-ins on sockets.

--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -281,6 +281,11 @@
             self.parting = True
             self.clients.clock.deadlines.add(self.clients.clock.now(), self._part)
 
+    def part_now(self, now: float) -> None:
+        """The turn of an idle connection has come; one that is in use is closed once it is answered."""
+        self.parting = False
+        self.drained()
+
     def _part(self, now: float) -> None:
         self.parting = False
         if not self.lost and self.idle and self.clients.draining:
@@ -423,18 +428,24 @@
             self.host.counters.add("clients.cut_off")
             worst.transport.abortConnection()
 
-    def leave(self, done: Callable[[], None]) -> None:
-        """Close what is idle, the rest once answered; `done` when all are closed."""
+    def leave(self, done: Callable[[], None], over_ms: float = 0.0) -> None:
+        """Close what is idle, by turns over `over_ms`, the rest once answered; `done` when all are closed."""
         self.leaving = done
-        self.drain(silent=True)
+        self.drain(silent=True, over_ms=over_ms)
         self.left()
 
-    def drain(self, silent: bool = False) -> None:
-        """Close what is idle, and what else there is once it is; `silent`: also what has not asked yet."""
-        self.draining = True
-        for client in list(self.open):
+    def drain(self, silent: bool = False, over_ms: float = 0.0) -> None:
+        """Close what is idle, by turns over `over_ms`, and what else there is once it is; `silent`: also what
+        has not asked yet."""
+        self.draining, now, held = True, self.clock.now(), list(self.open)
+        # Danger: clients that hear of hundreds of closes at once still write to some of those connections.
+        for n, client in enumerate(held):
             client.asked |= silent
-            client.drained()
+            if over_ms and n and client.idle:
+                client.parting = True
+                self.clock.deadlines.add(now + over_ms * n / len(held), client.part_now)
+            else:
+                client.drained()
 
     def left(self) -> None:
         if self.leaving is not None and not self.open:
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -27,6 +27,7 @@
 DOOR = CALLERS + SPARE + 4  # the door's, the inherited socket's and the shared files'
 FIRST_LIST_MS = 1500.0  # a process with an inherited socket waits so long for its first list
 FOLLOW_MS = 200.0  # between two looks at what the node's other process was told
+PARTING_MS = 400.0  # over which a process that another follows closes what is idle
 SERVE_ON_MS = 500.0  # after being asked to leave, while clients still come
 REPLY_MS = 150.0  # past the longest deadline, for the last answers to be written
 
@@ -252,7 +253,7 @@
                 self.port.doRead()
         if self.port is not None:
             self.port.stopListening()
-        self.clients.leave(self._end)
+        self.clients.leave(self._end, 0.0 if self.post.inherited is None else PARTING_MS)
 
     def _end(self) -> None:
         if self.shared is not None:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -200,7 +200,7 @@
 """
 
 
-def leaves_its_clients(self: Clients, done: object) -> None:
+def leaves_its_clients(self: Clients, done: object, over_ms: float = 0.0) -> None:
     for client in list(self.open):
         client.transport.abortConnection()
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -333,3 +333,23 @@
     for n in range(300):
         s.client().say(get(f"h{n}")[:30])
     assert call(s, b"STATUS\n") == b"YES\n" and figures(s)["pending"] == 0
+
+
+def test_a_process_that_another_follows_closes_what_is_idle_by_turns_and_serves_what_comes() -> None:
+    # Danger: clients that hear of hundreds of closes at once still write to some of those connections.
+    s, done = Sockets(), []
+    idle = [s.client() for _ in range(20)]
+    for client in idle:
+        client.say(b"*1\r\n$4\r\nPING\r\n")
+        assert client.take() == b"+PONG\r\n"
+    s.node.clients.leave(lambda: done.append(1), 400.0)
+    s.pass_time(100)
+    assert 3 <= sum(client.ended for client in idle) <= 7
+    late = next(client for client in reversed(idle) if not client.ended)
+    late.say(get("a"))
+    s.pass_time(350)
+    assert [client for client in idle if not client.ended] == [late] and not done
+    for cache in s.network.to(7000) + s.network.to(7001):
+        cache.say(b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n")
+    s.pass_time(1)
+    assert late.take() == b"$1\r\nv\r\n" and late.ended and done
