--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -182,6 +182,30 @@
     assert not Judge(Rules(heads=False)).judge(history, 60000.0)
 
 
+def test_the_judge_takes_no_crossing_for_a_second_copy_and_no_death_for_a_ban() -> None:
+    history = History()
+    history.add(1000.0, "asked", NODE, "q1", "read", 500.0, 7)
+    history.add(1000.5, "closed", NODE, port=1)  # while the transmission was on its way there
+    history.add(1001.0, "came", SERVER, "q1", NODE, 0.0, 1)
+    history.add(1005.0, "came", "s1", "q1", NODE, 0.0, 2)
+    history.add(1006.0, "sent", "s1", "q1", "hit")
+    history.add(1007.0, "answered", NODE, "q1", "completed")
+    history.add(1009.0, "dropped", SERVER, "q1")
+    history.add(2000.0, "banned", NODE, what=SERVER)
+    history.add(3000.0, "stop", NODE)
+    history.add(3500.0, "start", NODE)
+    asked_at(history, 9000.0, "q2")  # by a process that was told of no ban
+    assert not Judge(Rules()).judge(history, 60000.0)
+
+
+def test_a_node_owes_no_use_of_a_server_where_keys_are_few_nor_a_place_where_descriptors_are() -> None:
+    def rules(lines: str) -> Rules:
+        return Run(read("name = 'a-b'\n" + lines), 1).rules()
+
+    assert rules("").unused_ms == 5000.0 and rules("").heads
+    assert rules("[traffic]\nkeys = 1").unused_ms == float("inf") and not rules("[nodes]\nsockets = 64").heads
+
+
 UPGRADE = """
 name = "test-upgrade"
 seconds = 8.0
@@ -222,6 +246,20 @@
     assert run.nodes["n0"].starts == 2 and run.nodes["n0"].elder is None  # the old one has gone
 
 
+def test_only_a_process_that_another_follows_takes_its_time_to_part(monkeypatch: pytest.MonkeyPatch) -> None:
+    spans, leave = list[float](), Clients.leave
+
+    def seen(self: Clients, done: object, over_ms: float = 0.0) -> None:
+        spans.append(over_ms)
+        leave(self, done, over_ms)
+
+    monkeypatch.setattr(Clients, "leave", seen)
+    alone = UPGRADE.replace("node_upgrade", "node_leave").replace("suspend", "flush")
+    for text in (UPGRADE, alone):
+        assert not Run(read(text), 1).run().broken
+    assert spans[0] > 0 and spans[1:] == [0.0]
+
+
 # ---- files
 
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -113,6 +113,25 @@
     assert b"since=2 " in s.network.to(8600)[0].take()
 
 
+def test_an_operator_is_told_what_acts_what_stays_and_that_a_file_is_not_there(tmp_path: Path) -> None:
+    s, path, said = Sockets(), tmp_path / "node.json", list[tuple[str, str]]()
+    s.info = lambda event, **values: said.append((event, str(values.get("changed") or values.get("what"))))
+    reload = partial(s.node.reload, partial(anew, {"PROXY_CONFIG": str(path)}))
+    told = {"discovery": f"127.0.0.1:{DISCOVERY}", "settings": deepcopy(SETTINGS)}
+    reload()
+    assert [event for event, _ in said] == ["not reloaded"]
+    assert s.counters.counts["config_reload_errors"] == 1 and "config_changes" not in s.counters.counts
+    told["settings"]["limits"]["second_copies"] = True
+    path.write_text(json.dumps(told | {"seed": 9, "listen": "127.0.0.1:1", "name": "other"}))
+    said.clear()
+    reload()
+    stays = [what for event, what in said if event == "stays until a restart"]
+    assert sorted(stays) == ["listen", "name", "seed"] and said[-1] == ("reloaded", "second_copies")
+    assert s.node.host.deployment.seed == s.post.deployment.seed and s.node.post.listen[1] == 6379
+    reload()
+    assert said[-1] == ("reloaded", "nothing") and s.counters.counts["config_changes"] == 1
+
+
 def test_a_node_survives_sighup_and_leaves_on_sigterm(tmp_path: Path) -> None:
     path = tmp_path / "node.json"
     with socket.create_server(("127.0.0.1", 0)) as free:
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -81,7 +81,7 @@
     node._cool(cold, f.now)
     for _ in range(3):
         f.end(f.arrive("k1", customer="small"), Outcome.COMPLETED)
-    tokens = node.shares["small"].tokens
+    tokens, cold_tokens = node.shares["small"].tokens, cold.tokens
     homes = {number: b.home.id for number, b in node.buckets.items()}
     out = f.arrive("k5", method="once")
     other = Method("once", 50.0, 100.0, 1.0, 0.0, Idempotency.RETRIABLE)
@@ -89,7 +89,8 @@
     for settings, kind in ((new, 1), (d, 0)):
         node.reconfigured(f.now, settings)
         assert node.bans == {"s0": None} and sick.off and sick.failures == 3 and sick.limit == 1.5
-        assert cold.cold_until > f.now and abs(node.shares["small"].tokens - tokens) < 1e-6
+        assert cold.cold_until > f.now and cold.tokens == cold_tokens
+        assert abs(node.shares["small"].tokens - tokens) < 1e-6
         assert {number: b.home.id for number, b in node.buckets.items()} == homes  # no ring moved
         assert sick.kind == kind and node.origin.id == "o1" and node.origin.kind == kind + 1
         rpc = node.rpcs[out]
