--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -363,3 +363,23 @@
     f.end(rpc, Outcome.COMPLETED)
     rest = f.node.origin.rest_until - f.now  # its limit has doubled where it was under one
     assert 25.0 <= rest < 75.0 if nodes == 256 else rest <= 0.0
+
+
+def test_what_is_given_up_has_its_answer_in_the_same_turn_and_a_time_to_come_back() -> None:
+    # Danger: an answer held back so that its client does not ask again; it helps no one, and is not allowed.
+    f, came, told = fleet(1, max_retry_after_ms=400.0), dict[str, float](), dict[str, tuple[float, float]]()
+    exhaust = f.exhaust
+    f.exhaust = lambda rpc, ms: (told.setdefault(rpc, (f.now, ms)), exhaust(rpc, ms))[1]
+    for s in f.node.servers.values():
+        s.limit = 1.0
+    f.node.servers["s0"].latency = f.node.origin.latency = 100.0
+    for i in range(40):
+        came[f.arrive(f"k{i}")] = f.now
+    assert len(told) > 25  # more than the line holds in time
+    assert all(at == came[rpc] and 0 < ms <= 400.0 for rpc, (at, ms) in told.items())
+    waiting, given_up = set(f.open) - {rpc for rpc, _ in f.out}, f.node._give_up
+    turns = dict[str, float]()
+    f.node._give_up = lambda rpc, host: (turns.setdefault(rpc.id, f.now), given_up(rpc, host))[1]
+    f.pass_time(900.0)
+    ended = {rpc: at for rpc, (at, _) in told.items() if rpc in waiting}
+    assert ended and all(turns[rpc] == at for rpc, at in ended.items())
