Placement: bound methods have buckets of their own, and no transmission strays

Change: the settings reach the deployment, with rules.gone_is_advice and the goal's nines. A method that is bound has buckets of its own, whose home, chain, spread and moves are among the servers open to it; _may_send, which every transmission passes, refuses the rest, so a list or settings that change while an RPC waits in a line cannot let it stray. An entry without kind or location is open to no bound method; a placement of a wrong type is refused whole. The origin is open to all.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -8,7 +8,7 @@
 from array import array
 from bisect import bisect_left
 from collections import deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from hashlib import shake_128
 from zlib import crc32
 
@@ -40,6 +40,7 @@
 STRIKES = 3  # failures in a row that take a server off the path
 FAR = float("inf")
 Place = tuple[bool, float, int, "Rpc"]  # in a line: over share, -gain, arrival
+Places = tuple[str, ...]  # kinds or locations that a method is bound to; none: all are open to it
 
 
 class Server:  # all that is known of one cache server, or of the origin
@@ -59,8 +60,8 @@
 
 
 class Bucket:  # the unit that is moved between caches
-    def __init__(self, number: int) -> None:
-        self.point = crc32(b"bucket/%d" % number) << 16
+    def __init__(self, number: int, kinds: Places = (), zones: Places = ()) -> None:
+        self.point, self.kinds, self.zones = crc32(b"bucket/%d" % number) << 16, kinds, zones
         self.home: Server | None = None
         self.at: Server | None = None
         self.chain: list[Server] | None = None  # along the ring, home first; made when asked for
@@ -117,7 +118,8 @@
     return min(loads, key=lambda p: (lam * p[0] - h[0]) ** 2 + ((1 - lam) * p[1] - h[1]) ** 2)
 
 
-def migrate(caches: list[Server], loads: dict[Server, list[Load]]) -> list[tuple[Bucket, Server]]:
+def migrate(caches: list[Server], loads: dict[Server, list[Load]],
+            fits: Callable[[Bucket, Server], bool] = lambda *_: True) -> list[tuple[Bucket, Server]]:
     """One round: move nearest-neighbour buckets from heaviest to lightest while sigma falls, until IT."""
     lam, mu = weights(caches)
     moves: list[tuple[Bucket, Server]] = []
@@ -125,9 +127,10 @@
     while len(moves) < MOVE_CAP * len(caches) and begun - sigma < IMPROVEMENT * begun:
         utility = [lam * s.c + (1 - lam) * s.m for s in caches]
         a, b = caches[utility.index(max(utility))], caches[utility.index(min(utility))]
-        if a is b or not loads[a] or max(utility) < DEAD_BAND * sum(utility) / len(caches):
+        held = [load for load in loads[a] if fits(load[2], b)]
+        if a is b or not held or max(utility) < DEAD_BAND * sum(utility) / len(caches):
             break
-        v, w, bucket = point = nearest(loads[a], target_point(a, b, lam), lam)
+        v, w, bucket = point = nearest(held, target_point(a, b, lam), lam)
         ratio = a.size / b.size  # the same traffic weighs more on a smaller cache; the paper's are all equal
         a.c, a.m, b.c, b.m = a.c - v, a.m - w, b.c + v * ratio, b.m + w
         after = imbalance(caches, mu)
@@ -146,12 +149,13 @@
         self.shares, self.mix, self.kinds = dict[str, Share](), dict[str, float](), d.kinds
         self.servers, self.rpcs, self.bans = dict[str, Server](), dict[str, Rpc](), dict[str, None]()
         self.origin, self.ring = None, array("Q")  # a point, and in sixteen bits a cache's place in `caches`
-        self.buckets, self.caches = dict[int, Bucket](), list[Server]()  # asked for so far; all on the ring
+        # Asked for so far, one for each placement; all on the ring.
+        self.buckets, self.caches = dict[tuple[int, Places, Places], Bucket](), list[Server]()
         # RPCs of the buckets' `seen`; sizes of all caches; the usual time of an answer by one of size one
         self.seen, self.size, self.work = 0.0, 1.0, 0.0
         self.closing, self.freed = deque[Server](), deque[Server]()
         self.todo, self.retract, self.news = deque[Rpc](), deque[Tx](), deque[str](maxlen=8)
-        self.young, self.old = dict[str, None](), dict[str, None]()  # keys asked for, in two generations
+        self.young, self.old = dict[str, Bucket](), dict[str, Bucket]()  # keys asked for, in two generations
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
         self.armed, self.aged_at, self.points_per_size, self.beat_at, self.warm_rate = FAR, now, 0.0, now, 0.0
         self.asked, self.turned, self.pressure, self.shed = 1, 0, 0.0, 0.0  # shed: turned away at the door
@@ -203,7 +207,7 @@
                 s.started, s.failures, s.off = started, 0, False
                 s.answered_at, s.limit = -FAR, min(s.limit, START_LIMIT)
                 self._cool(s, started)
-            changed |= s.listed != e.state
+            changed |= s.listed != e.state or (s.zone, s.kind) != (e.zone, e.kind)
             size = max(e.size, 1e-3)
             if self.nominal is not None:  # Danger: sizes that move with load move the ring at every list.
                 full = self.nominal[e.kind] = max(size, self.nominal.get(e.kind, 0.0))
@@ -250,10 +254,11 @@
             return
         m = self.methods.get(method) or Method(method, grace, grace, 0.0, 0.0, Idempotency.NON_RETRIABLE)
         # A keyless RPC still needs a bucket: any will do.
-        bucket = self._bucket(crc32(key.encode() or b"%d/%d" % (self.seed, self._count())) % BUCKETS)
+        number = crc32(key.encode() or b"%d/%d" % (self.seed, self._count())) % BUCKETS
+        bucket = self._bucket(number, m.kinds, m.zones)
         if key and key not in self.young:
-            self.young[key] = None
             bucket.keys += key not in self.old
+            self.young[key] = self.old.get(key, bucket)
         self._heavy(bucket)
         bucket.count, rpc = bucket.count + 1, Rpc(self._count(), id, key, bucket, m, write)
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
@@ -493,7 +498,14 @@
         heapq.heappush(self.wakes, (now + max(PATIENCE * soft, usual), self._count(), rpc, tx))
         host.send(rpc.id, s.id, rpc.until - now)
 
-    def _may_send(self, rpc: Rpc, s: Server) -> bool:  # rule 2, for a further transmission
+    def _open(self, to: Bucket | Method, s: Server) -> bool:  # placement; no kind or zone listed: fits none
+        if to.kinds and (self.kinds[s.kind] if 0 <= s.kind < len(self.kinds) else "") not in to.kinds:
+            return s is self.origin
+        return not to.zones or s.zone in to.zones or s is self.origin
+
+    def _may_send(self, rpc: Rpc, s: Server) -> bool:  # placement; rule 2, for a further transmission
+        if not self._open(rpc.method, s):
+            return False
         kind, ran = rpc.method.idempotency, next((tx for tx in rpc.txs if tx.ran), None)
         if kind == Idempotency.RETRIABLE or ran is None:
             return True
@@ -564,7 +576,7 @@
     def _chain(self, bucket: Bucket) -> list[Server]:
         if bucket.chain is None:  # Danger: what is turned away goes to the same next one from all nodes.
             met = dict.fromkeys(([bucket.at] if bucket.at else []) + self._taking(bucket)[:CHAIN])
-            for s in self._ready_from(bucket.point):
+            for s in self._ready_from(bucket):
                 met[s] = None
                 if len(met) >= CHAIN:  # Danger: a walk around a large ring, for each bucket at each new list
                     break
@@ -663,21 +675,21 @@
         for b in self.buckets.values():
             self._home(b)
 
-    def _bucket(self, number: int) -> Bucket:
-        bucket = self.buckets.get(number)
+    def _bucket(self, number: int, kinds: Places = (), zones: Places = ()) -> Bucket:
+        bucket = self.buckets.get((number, kinds, zones))
         if bucket is None:
-            bucket = self.buckets[number] = Bucket(number)
+            bucket = self.buckets[number, kinds, zones] = Bucket(number, kinds, zones)
             self._home(bucket)
         return bucket
 
     def _home(self, b: Bucket) -> None:
         moved, b.chain, b.home = b.at is not b.home, None, next(iter(self._taking(b)), None)
-        if not moved or b.at is None or b.at.state != State.READY:
+        if not moved or b.at is None or b.at.state != State.READY or not self._open(b, b.at):
             b.at = b.home
 
     def _taking(self, b: Bucket) -> list[Server]:  # its caches, as this node prefers them
         met, room = dict[Server, float](), b.wide
-        for s in self._ready_from(b.point):
+        for s in self._ready_from(b):
             if s not in met:
                 drawn = crc32(b"%d/%d/" % (self.seed, b.point) + s.id.encode()) / 2**32
                 met[s], room = drawn ** (1 / s.size), room - s.size
@@ -692,11 +704,11 @@
             b.wide = wide
             self._home(b)
 
-    def _ready_from(self, point: int) -> Iterator[Server]:
-        start, n = bisect_left(self.ring, point), len(self.ring)
+    def _ready_from(self, b: Bucket) -> Iterator[Server]:
+        start, n, bound = bisect_left(self.ring, b.point), len(self.ring), b.kinds or b.zones
         for i in range(start, start + n):
             s = self.caches[self.ring[i % n] & 0xFFFF]
-            if s.state == State.READY:
+            if s.state == State.READY and (not bound or self._open(b, s)):
                 yield s
 
     def _beat(self) -> None:  # rates, once a window of rule 4
@@ -724,9 +736,8 @@
         heard = (s for s in self.servers.values() if s.ok and s.heard >= EVIDENCE and s is not self.origin)
         held: dict[Server, list[Bucket]] = {s: [] for s in heard}
         if len(self.young) >= KEYS_KEPT or self.now >= self.aged_at + AGE * ROUND_MS:
-            for key in self.old:
-                if key not in self.young:
-                    self._bucket(crc32(key.encode()) % BUCKETS).keys -= 1
+            for key, bucket in self.old.items():
+                bucket.keys -= key not in self.young
             self.old, self.young, self.aged_at = self.young, {}, self.now
         fade = min(1.0, RECALL / max(1.0, self.seen))
         self.seen *= fade
@@ -746,7 +757,7 @@
             s.c, s.m = s.c / mean_c if mean_c else 1.0, s.m / mean_m if mean_m else 1.0
             r, k = sum(b.rate for b in held[s]) or 1.0, sum(b.keys for b in held[s]) or 1
             loads[s] = [(s.c * b.rate / r, s.m * b.keys / k, b) for b in held[s]]
-        for bucket, to in migrate(caches, loads):
+        for bucket, to in migrate(caches, loads, self._open):
             bucket.at.heard = to.heard = 0
             bucket.at, bucket.chain = to, None
 
--- a/hookpitch/balancer/deployment.py
+++ b/hookpitch/balancer/deployment.py
@@ -71,7 +71,14 @@
             raise ValueError(f"setting {name} has an unknown value '{value}'")
         return str(value)
 
-    limits, rules, tariffs = (top.get(name) or {} for name in ("limits", "rules", "tariffs"))
+    def names(table: Mapping[str, Any], name: str) -> tuple[str, ...]:
+        value = table.get(name) or []
+        # Danger: a placement read as none at all lets an RPC go anywhere.
+        if not isinstance(value, list) or not all(isinstance(v, str) and v for v in value):
+            raise ValueError(f"setting {name} is no list of names: {value!r}")
+        return tuple(value)
+
+    limits, rules, tariffs, goal = (top.get(name) or {} for name in ("limits", "rules", "tariffs", "goal"))
     family = top.get("family_info") or {}
     methods = []
     for m in need(top, "methods", ""):
@@ -88,6 +95,8 @@
                 group=word(m, "group", GROUPS, "all"),
                 window_ms=span(m, "window_s"),
                 streamed=bool(m.get("streamed", False)),
+                kinds=names(m, "allowed_on"),
+                zones=names(m, "runs_in"),
             )
         )
     customers = tuple(
@@ -118,4 +127,7 @@
         kinds=tuple(str(k) for k in top.get("host_types") or []),
         dial_timeout_ms=span(limits, "dial_timeout_s") or 250.0,
         conn_idle_ms=span(limits, "conn_idle_s") or 15000.0,
+        gone_is_advice=bool(rules.get("gone_is_advice", False)),
+        nines_part=figure(goal, "log_loss_part"),
+        nines_full=figure(goal, "nines_wanted") or 3.0,
     )
--- a/hookpitch/balancer/interface.py
+++ b/hookpitch/balancer/interface.py
@@ -72,6 +72,8 @@
     group: str = "all"  # of the servers that drop its repeats: all, zone or cell
     window_ms: float = 0.0
     streamed: bool = False
+    kinds: tuple[str, ...] = ()  # the only kinds of machine, and
+    zones: tuple[str, ...] = ()  # the only locations it may be sent to; empty: any. The origin is always open
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +124,9 @@
     kinds: tuple[str, ...] = ()  # names of the machine kinds, in the order of their numbers
     dial_timeout_ms: float = 250.0
     conn_idle_ms: float = 15000.0  # a server closes a connection that was idle for so long
+    gone_is_advice: bool = False  # only a server seen draining is sent nothing new; gone alone binds nothing
+    nines_part: float = 0.0  # what the goal gives for each tenfold step by which little is lost, and
+    nines_full: float = 3.0  # how many such steps earn it in full
 
 
 class Host(Protocol):
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,99 @@
+"""Placement binds every transmission, and where gone is advice a listing as gone binds none."""
+
+from zlib import crc32
+
+import pytest
+from fleet import ORIGIN, Fleet, deployment, entry
+
+from hookpitch.balancer.decisions import BUCKETS
+from hookpitch.balancer.deployment import deployment as read
+from hookpitch.balancer.interface import ListKind, Method, Outcome, State
+
+ON_STD = Method("status", 400.0, 1000.0, 1.0, kinds=("std",))
+
+
+def fleet(servers: int = 6, method: Method = ON_STD, **changes: object) -> Fleet:
+    """Caches of odd numbers are of kind std; the helper fails a test whose RPC strays."""
+    methods = (method, Method("page", 400.0, 1000.0, 1.0))
+    f = Fleet(deployment(methods=methods, kinds=("fast", "std"), **changes))
+    caches = [entry(f"s{i}", kind=i % 2) for i in range(servers)]
+    f.listed([*caches, entry("o1", kind=ORIGIN)], ListKind.CACHED)
+    return f
+
+
+def test_first_and_further_transmissions_go_to_open_servers_only() -> None:
+    f = fleet(max_transmissions=5)
+    for i in range(60):
+        rpc = f.arrive(f"k{i}")
+        while rpc in f.open and f.txs[rpc] and not f.txs[rpc][-1]["done"]:
+            f.end(rpc, Outcome.FULL if len(f.txs[rpc]) % 2 else Outcome.RESET)
+    assert {to for _, to, _ in f.sends} <= {"s1", "s3", "s5", "o1"}
+
+
+@pytest.mark.parametrize("copies", [True, False])
+def test_second_copies_and_overflow_stay_within_placement(copies: bool) -> None:
+    f = fleet(second_copies=copies)
+    for i in range(200):  # far more than three servers are let bear
+        f.arrive(f"k{i % 9}")
+        f.pass_time(3.0)
+    f.pass_time(2000.0)
+    assert {to for _, to, _ in f.sends} <= {"s1", "s3", "s5", "o1"} and not f.open
+
+
+def test_a_heavy_key_is_spread_over_open_servers() -> None:
+    taken = set[str]()
+    for seed in range(12):
+        f = fleet(16, seed=seed)
+        for i in range(200):
+            f.end(f.arrive("hot" if i % 4 == 0 else f"k{i}"), Outcome.COMPLETED)
+        taken.add(f.node._bucket(crc32(b"hot") % BUCKETS, ("std",)).home.id)
+    assert len(taken) > 1 and all(int(id[1:]) % 2 for id in taken)
+
+
+def test_a_round_moves_no_bucket_to_a_server_that_is_not_open_to_it() -> None:
+    f = fleet(4)
+    for i in range(900):  # s0 and s2 get nothing at all
+        f.end(f.arrive(f"key{i % 40}"), Outcome.COMPLETED)
+        f.end(f.arrive(f"page{i % 7}", "page"), Outcome.COMPLETED)
+        f.pass_time(10.0)
+    bound = [b for b in f.node.buckets.values() if b.kinds]
+    assert bound and all(b.at.kind == 1 for b in bound)
+
+
+def test_a_server_of_another_kind_that_alone_is_up_gets_nothing() -> None:
+    f = fleet(6)
+    f.listed([entry(f"s{i}", State.GONE, kind=1) for i in (1, 3, 5)], ListKind.DELTA)
+    rpc = f.arrive("k")
+    assert f.answers[rpc] == "exhausted" and not f.sends
+    assert f.arrive("k", "page") in f.open and f.sends  # what is bound to nothing goes on
+
+
+def test_an_entry_without_kind_or_zone_is_open_to_what_is_bound_to_nothing_only() -> None:
+    f = fleet(0, Method("status", 400.0, 1000.0, 1.0, zones=("zone1",)))
+    f.listed([entry("s1", kind=-2)])
+    f.node.servers["s1"].zone = ""
+    f.node._rebuild([])
+    assert f.answers[f.arrive("k")] == "exhausted" and not f.sends
+    assert f.arrive("k", "page") in f.open
+
+
+def test_a_server_listed_as_another_kind_loses_what_is_bound() -> None:
+    f = fleet(2)
+    rpc = f.arrive("k")
+    assert f.txs[rpc][0]["server"] == "s1"
+    f.end(rpc, Outcome.COMPLETED)
+    f.listed([entry("s1", kind=0), entry("s0", kind=1)], ListKind.DELTA)
+    f.arrive("k")
+    assert f.sends[-1][1] == "s0"
+
+
+def test_the_settings_are_read_and_a_placement_of_a_wrong_type_is_refused() -> None:
+    method = {"name": "m", "hard_deadline_s": 1.0, "allowed_on": ["std"], "runs_in": ["north"]}
+    top = {"methods": [method], "rules": {"gone_is_advice": True}}
+    d = read(1, top | {"goal": {"log_loss_part": 0.2, "nines_wanted": 3}})
+    assert d.methods[0].kinds == ("std",) and d.methods[0].zones == ("north",)
+    assert d.gone_is_advice and d.nines_part == 0.2 and d.nines_full == 3.0
+    assert not read(1, {"methods": [{"name": "m", "hard_deadline_s": 1.0}]}).gone_is_advice
+    for bad in ("std", [1], [""]):
+        with pytest.raises(ValueError, match="allowed_on"):
+            read(1, {"methods": [method | {"allowed_on": bad}]})
