RPCs that fail anywhere strike no server; earlier cuts, gone as advice, points for bound methods

At perth boxes of the kind that status-check is bound to took a mean 97 to 400 ms when the others took 68 to 100.

Change: an error counts against its server when another then serves the RPC; the second error ends it, at once, and its customer's token comes back. Second opinions are a twentieth of the good answers, ten saved. What fell lately goes off at one failure and keeps its pause. Where gone is advice, a server that has not answered lately goes off the path instead of away. A server open to bound methods gives up to half of its points. Caches' limits fall from a fifth of the soft deadline. An RPC whose line was in vain goes along the ring while the origin is at ease. Load is the larger of told and measured. The origin starts at 64 over all nodes, 12 a node at most.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -29,15 +29,22 @@
 AGE = 12  # or after this many rounds
 PATIENCE = 0.4  # of the soft deadline: no word at all from a server for this long counts against it
 COPY_BY = 0.65  # of the soft deadline: a second copy goes out by then, where copies are allowed
-TARGET = 0.5  # of the soft deadline: answers slower than this shrink the server's limit
+TARGET = 0.5  # of the soft deadline: answers slower than this shrink the origin's limit,
+SLOW = 0.2  # and slower than this a cache's
 WAIT = 0.3  # of what is left: the longest stay in a line
 START_LIMIT = 2.0  # transmissions out at a server we know nothing of, or that is back on the path
 SAVED = 12.0  # RPCs of a share that a node may save up, however small its part of the quota
 ORIGIN_START = 64.0  # transmissions out at the origin at the start, over all nodes
+ORIGIN_MOST = 12.0  # but no more at one node
 LEAST = 1 / 64  # the lowest limit of the origin
 SHED_FROM = 0.2  # of what is within shares turned away or late: from here on less is let in
 ONE_OFF = (Outcome.SPOILT, Outcome.RESET)  # tells of one connection: the same server may be asked again
 STRIKES = 3  # failures in a row that take a server off the path
+TRIALS = 10.0  # second opinions on errors that a node may save up; each good answer
+TRIAL = 0.05  # adds so much of one
+PRIOR = 40.0  # RPCs of each method taken for seen before any is: all nodes begin alike
+LEAST_FREE = 0.5  # of its points, a server keeps for what is bound to no servers
+SLACK = 0.15  # by which that part has to change before keys move for it
 FAR = float("inf")
 Place = tuple[bool, float, int, "Rpc"]  # in a line: over share, -gain, arrival
 Places = tuple[str, ...]  # kinds or locations that a method is bound to; none: all are open to it
@@ -46,16 +53,18 @@
 class Server:  # all that is known of one cache server, or of the origin
     def __init__(self, id: str) -> None:
         self.id, self.state, self.zone, self.cell, self.size, self.kind = id, State.GONE, "", 0, 1.0, 0
-        self.listed = State.GONE  # as discovery has it; `state`: the same, or DRAINING while banned
+        self.listed, self.advised = State.GONE, False  # advised: listed as gone, which binds nothing; READY
         self.live: dict[Tx, None] = {}  # transmissions out, oldest first
         self.limit, self.least, self.growth, self.latency = START_LIMIT, 1.0, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
         self.answered_at = self.struck_at = self.rest_until = self.started = self.cold_until = -FAR
+        self.back_at = -FAR  # on the path again; the pause before it counts on for a while
         self.tokens, self.refilled, self.boost = 0.0, 0.0, 1.0  # for its time as a cold server
         self.open, self.last, self.sent, self.rate = False, -FAR, 0, 0.0  # a connection; the latest send
         self.load = -1.0  # as told; -1 where it is not
         self.first, self.again = list[Place](), list[Place]()  # lines; further transmissions have their own
         self.c, self.m, self.points, self.heard = 0.0, 0.0, 0, 0  # the mechanism's loads; points on the ring
+        self.free = 1.0  # the part of its points at which it takes what is bound to no servers
         self.ok = False  # ready, on the path and warm: the ordinary path asks no more than this
 
 
@@ -81,7 +90,10 @@
         self.n, self.id, self.key, self.bucket, self.method, self.write = n, id, key, bucket, method, write
         self.until = self.aim = self.line = 0.0  # line: when its stay in one is over; 0 when in none
         self.queued: Server | None = None  # in whose
-        self.over = self.missed = self.closed = self.lost = False
+        self.over = self.missed = self.closed = self.lost = self.onward = False  # onward: a line was in vain
+        self.vain = False  # fails anywhere, as far as is known
+        self.accused: Server | None = None  # answered it with an error; what another says will tell
+        self.share: Share | None = None  # whose tokens it took
         self.txs, self.live, self.slow = list[Tx](), 0, 0  # out; of these: silent, and another may be sent
 
 
@@ -160,6 +172,8 @@
         self.armed, self.aged_at, self.points_per_size, self.beat_at, self.warm_rate = FAR, now, 0.0, now, 0.0
         self.asked, self.turned, self.pressure, self.shed = 1, 0, 0.0, 0.0  # shed: turned away at the door
         self.burden, self.lag, self.away_at, self.ask_backoff = 0.0, 0.0, -FAR, 0.0  # the node's own
+        self.flow, self.typical = dict[str, float](), 0.0  # work lately asked for; its unit in ms
+        self.trials = TRIALS  # second opinions on an error that the node may ask for
         self.reconfigured(now, d)
         # Danger: hundreds of nodes that start together ask discovery at once; it turns nearly all away.
         self.ask_at = now + self.ask_within / 2 * (1 - 1 / self.nodes) * self._chance() if d.must_ask else FAR
@@ -175,11 +189,13 @@
             self.retract.extend(tx for tx in rpc.txs if tx.slow and not tx.done)
         self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
         self.pause = 2 * min((m.soft_ms for m in d.methods), default=1000.0)  # the first time off the path
+        self.advice = d.gone_is_advice
         self.boost_most, self.overage_gain = max(1.0, d.overload_factor / 1.5), d.overage_gain
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
         self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
         self.parts = self.bands = self._bands(dict.fromkeys(self.methods, 1.0))  # parts: as they come in
         self.mix = {name: self.mix.get(name, 0.0) for name in self.methods}
+        self.flow = {name: self.flow.get(name, 0.0) for name in self.methods}
         before, self.kinds, self.origin_kind = self.kinds, d.kinds, d.origin_kind
         self.nominal = dict[int, float]() if d.live_sizes else None  # sizes move with load: a kind's largest
         for s in self.servers.values():
@@ -216,7 +232,7 @@
                 resized.append(s)
             s.zone, s.cell, s.size, s.kind = e.zone, e.cell, size, e.kind
             if e.kind == self.origin_kind and s.least == 1.0:
-                s.least, s.limit = LEAST, min(START_LIMIT, ORIGIN_START / self.nodes)
+                s.least, s.limit = LEAST, min(ORIGIN_MOST, ORIGIN_START / self.nodes)
             self._state(s, e.state)
         for s in self.servers.values() if kind != ListKind.DELTA else ():
             if s.id not in listed and s.listed != State.GONE:
@@ -248,7 +264,7 @@
                 share.tokens = min(share.most, before[name].tokens)
 
     def rpc_arrived(self, now: float, id: str, key: str, method: str, customer: str, write: bool,
-                    grace: float, age: float = 0.0) -> None:  # fmt: skip
+                    grace: float, age: float = 0.0, work: float = 0.0) -> None:  # fmt: skip
         self.now = now
         if id in self.rpcs:
             return
@@ -259,6 +275,9 @@
         if key and key not in self.young:
             bucket.keys += key not in self.old
             self.young[key] = self.old.get(key, bucket)
+        if method in self.flow:
+            self.typical += (work - self.typical) * (0.05 if self.typical else 1.0) if work > 0 else 0.0
+            self.flow[method] += work / self.typical if work > 0 else 1.0
         self._heavy(bucket)
         bucket.count, rpc = bucket.count + 1, Rpc(self._count(), id, key, bucket, m, write)
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
@@ -267,7 +286,7 @@
         share = self.shares.get(customer)  # Danger: those over it in others' way, or lost to an idle fleet
         rpc.over = share is not None and share.spent(now)
         if share and not rpc.over:
-            share.tokens -= 1
+            share.tokens, rpc.share = share.tokens - 1, share
         rpc.lost = rpc.over and self._chance() >= self.overage_gain + 1 - self.pressure / SHED_FROM
         low, width = self.bands.get(method, (0.0, 1.0))  # among the methods, by gain
         if self.shed > 0 and share is None and low + width * self._chance() < self.shed:
@@ -295,10 +314,17 @@
             s.load += (held - s.load) / 8 if s.load >= 0 else held + 1
         if outcome <= Outcome.MISS:
             self._answered(tx, took, outcome == Outcome.COMPLETED)
+            if rpc.accused not in (None, s, self.origin) and not rpc.vain:  # another can do what it could not
+                self._strike(rpc.accused)
+                rpc.accused = None
         elif outcome == Outcome.FULL:
             # Danger: what warm servers refuse, taken for what they can do, pushes the cold ones over.
             s.answered_at, s.boost, s.heard, s.sent = now, 1.0, s.heard + 1, s.sent - 1
             s.latency += (rpc.method.soft_ms - s.latency) * 0.1
+        elif outcome == Outcome.ERROR and (s is not self.origin or now - s.answered_at <= self.pause):
+            # Danger: RPCs that fail anywhere take every server off the path, and their tries crowd the rest.
+            rpc.vain = rpc.accused is not None or self.trials < 1
+            rpc.accused = s
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED, Outcome.SPOILT):
             # Danger: a server that refuses after failures died and comes back cold, maybe unannounced.
             died = s.failures > 1 and 2 * sum(c.failures > 0 for c in self.caches) <= len(self.caches)
@@ -420,7 +446,10 @@
             _, _, rpc, tx = heapq.heappop(self.wakes)
             if tx is None:
                 if rpc.line and rpc.line <= now and not rpc.closed:
-                    rpc.line, rpc.lost = 0.0, True
+                    # Danger: refused for its own home's line while the next along the ring stands idle.
+                    rpc.line, rpc.lost = 0.0, rpc.onward or rpc.over or rpc.queued is self.origin
+                    rpc.lost |= self._crowded()
+                    rpc.onward = True
                     self.todo.append(rpc)
                 elif rpc.queued:
                     self.freed.append(rpc.queued)
@@ -444,18 +473,20 @@
 
     def _route(self, rpc: Rpc, host: Host) -> bool:  # True where the host was told something
         now, tries = self.now, len(rpc.txs)
-        if rpc.lost or tries >= self.max_txs or rpc.until - now <= self.margin:
+        if rpc.lost or rpc.vain or tries >= self.max_txs or rpc.until - now <= self.margin:
             return self._give_up(rpc, host)
         if self.origin_kind >= 0 and (rpc.write or rpc.missed or rpc.slow or 0 < tries == self.max_txs - 1):
             return self._offer(rpc, self.origin, host)
         s = rpc.bucket.at
-        if tries or s is None or not s.ok or not self._room(s):
+        if tries or rpc.onward or s is None or not s.ok or not self._room(s):
             s = self._along(rpc)
+            if rpc.lost:
+                return self._give_up(rpc, host)
         return self._offer(rpc, s, host)
 
     def _offer(self, rpc: Rpc, s: Server | None, host: Host) -> bool:  # send, stand in line or give up
         # Danger: what is over a share crowds the others out.
-        crowds = s is not None and rpc.over and (2 * len(s.live) >= s.limit or s.limit < 1)
+        crowds = s is not None and rpc.over and (len(s.live) >= s.limit or s.limit < 1)
         if s is None or s.state != State.READY or crowds or not self._may_send(rpc, s):
             return self._give_up(rpc, host)
         if not s.first and not s.again and self._room(s):
@@ -489,6 +520,7 @@
 
     def _send(self, rpc: Rpc, s: Server, host: Host) -> None:
         now, tx, rpc.live = self.now, Tx(rpc, s, len(rpc.txs), self.now), rpc.live + 1
+        self.trials -= rpc.accused is not None
         rpc.txs.append(tx)
         s.live[tx] = None
         s.sent, s.open, s.last, s.tokens = s.sent + 1, True, now, s.tokens - (now < s.cold_until)
@@ -523,7 +555,9 @@
         # Danger: what one slow home's line gives up while others stand idle, taken for a fleet that is full.
         idle = rpc.lost and sum(self._eased(s, m) for s in self._chain(rpc.bucket)) > 1
         turned = rpc.lost or any(not t.ran for t in rpc.txs[-1:])
-        self.turned += turned and not (rpc.over or rpc.missed or idle)
+        self.turned += turned and not (rpc.over or rpc.missed or idle or rpc.vain)
+        if rpc.vain and rpc.share:  # Danger: a customer's good RPCs pay for those that are worth nothing.
+            rpc.share.tokens += 1
         harmless = m.idempotency == Idempotency.RETRIABLE or not any(tx.ran for tx in rpc.txs)
         if harmless or (m.idempotency == Idempotency.DEDUPED and m.group == "all"):
             host.exhaust(rpc.id, min(self.retry_after, m.soft_ms) * (0.5 + self._chance() / 2))
@@ -542,7 +576,7 @@
 
     def _along(self, rpc: Rpc) -> Server | None:  # the first fit server; else one whose line to stand in
         now, busy = self.now, None
-        crowded = self.origin and (self.origin.again or 2 * len(self.origin.live) >= self.origin.limit)
+        crowded = self._crowded()
         for s in self._chain(rpc.bucket):
             tried = any(tx.server is s and not tx.spoilt for tx in rpc.txs) or not self._may_send(rpc, s)
             if s.state != State.READY or tried or (now < s.cold_until and not self._cold_room(s)):
@@ -552,11 +586,17 @@
                     continue
                 s.off_until = now + s.backoff
                 return s
-            if self._room(s) or crowded:  # Danger: going on means a miss, and misses flood the origin.
+            # Danger: going on means a miss, and misses flood the origin.
+            if self._room(s) or (crowded and not rpc.onward):
                 return s
             busy = busy or s
+        rpc.lost |= rpc.onward
         return busy
 
+    def _crowded(self) -> bool:  # the origin has no room for more misses
+        o = self.origin
+        return o is not None and (bool(o.again) or 2 * len(o.live) >= o.limit)
+
     def _eased(self, s: Server, m: Method) -> bool:  # it takes what it is sent, at once, and could take more
         return s.ok and max(START_LIMIT, 2 * len(s.live)) < s.limit and s.latency < TARGET * m.soft_ms / 2
 
@@ -588,10 +628,11 @@
     def _answered(self, tx: Tx, took: float, full_work: bool) -> None:
         s = tx.server
         s.answered_at, s.failures, s.heard = self.now, 0, s.heard + 1
+        self.trials = min(TRIALS, self.trials + TRIAL)
         if tx.sent < self.away_at:
             took, full_work = min(took, s.latency), False
         if s.off:
-            s.off, s.backoff, s.limit = False, 0.0, min(s.limit, START_LIMIT)
+            s.off, s.back_at, s.limit = False, self.now, min(s.limit, START_LIMIT)
             self.news.append(f"{s.id} back on the path")
         s.ok = s.state == State.READY and self.now >= s.cold_until
         if full_work:
@@ -601,7 +642,7 @@
         slow = TARGET * tx.rpc.method.soft_ms  # Danger: work at the origin that varies, taken for congestion.
         # Danger: with most caches cold, an even part is little, and RPCs are turned away before idle caches.
         s.boost = min(self.boost_most, s.boost * 1.1) if took < slow / 2 else 1.0
-        if took > slow and not (s is self.origin and s.latency <= 0.7 * slow):
+        if took > slow * SLOW / TARGET if s is not self.origin else took > slow and s.latency > 0.7 * slow:
             s.limit, s.growth = max(s.least, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
             s.limit += (1.0 if s is self.origin else s.growth) * min(s.limit, 1 / s.limit)
@@ -611,13 +652,19 @@
             s.limit = max(s.least, min(s.limit, len(s.live) + 1) * (0.8 if s.live else 0.5))
             return
         s.failures, s.struck_at = s.failures + 1, self.now
-        if s.failures >= STRIKES and (not s.off or self.now >= s.off_until):
+        # Danger: what fails and recovers by turns takes three of each node's RPCs at every turn.
+        again = self.now < s.back_at + 8 * self.pause
+        if s.failures >= (1 if again else STRIKES) and (not s.off or self.now >= s.off_until):
             if not s.off:
                 self.news.append(f"{s.id} off the path after {s.failures} failures in a row")
-            s.off, s.ok, s.limit = True, False, START_LIMIT
-            s.backoff = min(self.pause * 8, max(self.pause, 2 * s.backoff))
-            s.off_until = self.now + s.backoff
-            self._leave(s, True)
+                s.backoff *= again
+            self._off(s)
+
+    def _off(self, s: Server) -> None:
+        s.off, s.ok, s.limit = True, False, START_LIMIT
+        s.backoff = min(self.pause * 8, max(self.pause, 2 * s.backoff))
+        s.off_until = self.now + s.backoff
+        self._leave(s, True)
 
     def _cool(self, s: Server, since: float) -> None:
         if self.now >= s.cold_until:
@@ -645,7 +692,12 @@
     # ---- the list and the ring
 
     def _state(self, s: Server, state: State) -> None:
-        s.listed, state = state, State.DRAINING if s.id in self.bans and state == State.READY else state
+        # Danger: a list that lags what goes and comes by turns. Gone alone: off the path, to be tried.
+        s.advised = state == State.GONE and self.advice and (s.listed == State.READY or s.advised)
+        s.listed, state = state, State.READY if s.advised else state
+        if s.advised and not s.off and self.now - s.answered_at > self.pause:
+            self._off(s)
+        state = State.DRAINING if s.id in self.bans and state == State.READY else state
         if state != State.READY and s.state == State.READY:
             self._leave(s, state == State.GONE)
         s.state, s.ok = state, state == State.READY and not s.off and self.now >= s.cold_until
@@ -672,6 +724,7 @@
         if resized:
             self.ring = array("Q", sorted(ring))
         self.size = sum(s.size for s in self.caches if s.state != State.GONE)
+        self._relieve()
         for b in self.buckets.values():
             self._home(b)
 
@@ -707,10 +760,26 @@
     def _ready_from(self, b: Bucket) -> Iterator[Server]:
         start, n, bound = bisect_left(self.ring, b.point), len(self.ring), b.kinds or b.zones
         for i in range(start, start + n):
-            s = self.caches[self.ring[i % n] & 0xFFFF]
-            if s.state == State.READY and (not bound or self._open(b, s)):
+            point = self.ring[i % n]
+            s = self.caches[point & 0xFFFF]
+            if s.state == State.READY and (self._open(b, s) if bound else point >> 16 & 0xFF < s.free * 256):
                 yield s
 
+    def _relieve(self) -> bool:  # True where a server keeps more or less of its points for what is not bound
+        # Danger: what is bound to a few servers finds them full of what any could do.
+        bound = [m for m in self.methods.values() if m.kinds or m.zones]
+        ready, changed = [s for s in self.caches if s.state == State.READY], False
+        if not bound or not ready:
+            return False
+        rooms = [(m, sum(s.size for s in ready if self._open(m, s))) for m in bound]
+        mean = sum(self.flow.values(), PRIOR * len(self.flow)) / sum(s.size for s in ready)
+        for s in ready:
+            mine = [(PRIOR + self.flow[m.name]) / room for m, room in rooms if self._open(m, s)]
+            free = max(LEAST_FREE, 1 - sum(mine) / mean)
+            if abs(free - s.free) > SLACK:
+                s.free, changed = free, True
+        return changed
+
     def _beat(self) -> None:  # rates, once a window of rule 4
         now, span, self.beat_at = self.now, max(self.now - self.beat_at, 1.0), self.now
         self.next_beat = now + self.window
@@ -732,6 +801,9 @@
         self.warm_rate = sum(s.rate for s in warm) / sum(s.size for s in warm) if warm else known
 
     def _round(self) -> None:  # the mechanism's, over caches heard and warm; others count at the mean
+        self.flow = {name: 0.85 * flow for name, flow in self.flow.items()}
+        for b in self.buckets.values() if self._relieve() else ():
+            self._home(b)
         # Danger: hundreds of nodes each move keys on a few answers' noise, and every cache misses them.
         heard = (s for s in self.servers.values() if s.ok and s.heard >= EVIDENCE and s is not self.origin)
         held: dict[Server, list[Bucket]] = {s: [] for s in heard}
@@ -749,7 +821,8 @@
         if len(caches) < 2:
             return
         for s in caches:  # Danger: an overloaded cache is sent little, so the rate calls it light.
-            s.c = (s.load + len(s.first) if s.load >= 0 else s.rate * max(1.0, s.latency) / 1000) / s.size
+            own = s.rate * max(1.0, s.latency) / 1000  # Danger: what is told may be untrue.
+            s.c = (max(s.load + len(s.first), own * self.nodes) if s.load >= 0 else own) / s.size
             s.m = float(sum(b.keys for b in held[s]))
         mean_c, mean_m = sum(s.c for s in caches) / len(caches), sum(s.m for s in caches) / len(caches)
         loads: dict[Server, list[Load]] = {}
