The origin is crowded only where its answers are slow; no deduped RPC is called off for good

And 45 to 70 writes in 5 s were called off at the origin when their 400 ms were over, so that nothing could be sent again.

Change: crowded means a line there, or half of its limit in use and a mean answer over 1.5 times the least seen. A deduped transmission is called off only while another may go out.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -34,17 +34,15 @@
 WAIT = 0.3  # of what is left: the longest stay in a line
 START_LIMIT = 2.0  # transmissions out at a server we know nothing of, or that is back on the path
 SAVED = 12.0  # RPCs of a share that a node may save up, however small its part of the quota
-ORIGIN_START = 64.0  # transmissions out at the origin at the start, over all nodes
-ORIGIN_MOST = 12.0  # but no more at one node
+ORIGIN_START, ORIGIN_MOST = 64.0, 12.0  # transmissions out at the origin at the start: over all nodes; at one
 LEAST = 1 / 64  # the lowest limit of the origin
 SHED_FROM = 0.2  # of what is within shares turned away or late: from here on less is let in
 ONE_OFF = (Outcome.SPOILT, Outcome.RESET)  # tells of one connection: the same server may be asked again
 STRIKES = 3  # failures in a row that take a server off the path
-TRIALS = 10.0  # second opinions on errors that a node may save up; each good answer
-TRIAL = 0.05  # adds so much of one
+TRIALS, TRIAL = 10.0, 0.05  # second opinions on errors: saved up at the most; for each good answer
 PRIOR = 40.0  # RPCs of each method taken for seen before any is: all nodes begin alike
-LEAST_FREE = 0.5  # of its points, a server keeps for what is bound to no servers
-SLACK = 0.15  # by which that part has to change before keys move for it
+LEAST_FREE, SLACK = 0.5, 0.15  # of its points, a server's least for what is not bound; a change that counts
+EASE = 1.5  # times its usual mean answer: from here on the origin is crowded
 FAR = float("inf")
 Place = tuple[bool, float, int, "Rpc"]  # in a line: over share, -gain, arrival
 Places = tuple[str, ...]  # kinds or locations that a method is bound to; none: all are open to it
@@ -58,7 +56,7 @@
         self.limit, self.least, self.growth, self.latency = START_LIMIT, 1.0, 1.0, 0.0
         self.failures, self.off_until, self.backoff, self.off = 0, 0.0, 0.0, False
         self.answered_at = self.struck_at = self.rest_until = self.started = self.cold_until = -FAR
-        self.back_at = -FAR  # on the path again; the pause before it counts on for a while
+        self.back_at, self.usual = -FAR, 0.0  # on the path again; the least that its mean answer has been
         self.tokens, self.refilled, self.boost = 0.0, 0.0, 1.0  # for its time as a cold server
         self.open, self.last, self.sent, self.rate = False, -FAR, 0, 0.0  # a connection; the latest send
         self.load = -1.0  # as told; -1 where it is not
@@ -447,9 +445,8 @@
             if tx is None:
                 if rpc.line and rpc.line <= now and not rpc.closed:
                     # Danger: refused for its own home's line while the next along the ring stands idle.
-                    rpc.line, rpc.lost = 0.0, rpc.onward or rpc.over or rpc.queued is self.origin
-                    rpc.lost |= self._crowded()
-                    rpc.onward = True
+                    stuck = rpc.onward or rpc.over or rpc.queued is self.origin or self._crowded()
+                    rpc.line, rpc.lost, rpc.onward = 0.0, stuck, True
                     self.todo.append(rpc)
                 elif rpc.queued:
                     self.freed.append(rpc.queued)
@@ -595,7 +592,7 @@
 
     def _crowded(self) -> bool:  # the origin has no room for more misses
         o = self.origin
-        return o is not None and (bool(o.again) or 2 * len(o.live) >= o.limit)
+        return o is not None and (bool(o.again) or 2 * len(o.live) >= o.limit and o.latency > EASE * o.usual)
 
     def _eased(self, s: Server, m: Method) -> bool:  # it takes what it is sent, at once, and could take more
         return s.ok and max(START_LIMIT, 2 * len(s.live)) < s.limit and s.latency < TARGET * m.soft_ms / 2
@@ -637,6 +634,7 @@
         s.ok = s.state == State.READY and self.now >= s.cold_until
         if full_work:
             s.latency += (took - s.latency) * (0.1 if s.latency else 1.0)
+            s.usual = min(s.usual * 1.001 or s.latency, s.latency)
             if s is not self.origin:
                 self.work += (took * s.size - self.work) * (0.02 if self.work else 1.0)
         slow = TARGET * tx.rpc.method.soft_ms  # Danger: work at the origin that varies, taken for congestion.
@@ -673,7 +671,9 @@
 
     def _abandon(self, tx: Tx) -> None:  # call it off where another server may still answer in time
         rpc, kind = tx.rpc, tx.rpc.method.idempotency
-        if rpc.closed or len(rpc.txs) >= self.max_txs or kind == Idempotency.NON_RETRIABLE:
+        until = rpc.txs[0].sent + rpc.method.window_ms - 2 * self.margin  # Danger: it may not go out again.
+        past = self.now >= until if kind == Idempotency.DEDUPED else kind == Idempotency.NON_RETRIABLE
+        if rpc.closed or len(rpc.txs) >= self.max_txs or past:
             return
         if self.copies and not tx.slow:  # Danger: called off, what is only slow has run for nothing
             tx.slow, rpc.slow = True, rpc.slow + 1
