--- a/hookpitch/lab/experiment.py
+++ b/hookpitch/lab/experiment.py
@@ -88,6 +88,7 @@
     zones: int = 3
     warm: bool = True
     speeds: tuple[float, ...] = (1.0,)  # by turns over the caches
+    kinds: tuple[str, ...] = ("std",)  # by turns as well
 
 
 class Origin(Strict):
@@ -117,6 +118,8 @@
     write: bool = False
     size: int = 64
     wait_ms: float = 0.0  # how long its clients wait; 0: to the hard deadline
+    allowed_on: tuple[str, ...] = ()  # the only kinds of cache, and
+    runs_in: tuple[str, ...] = ()  # the only zones (z0, z1, ...) that it may be sent to; none: any
 
 
 class Traffic(Strict):
@@ -188,6 +191,11 @@
     expected: tuple[Expectation, ...] = ()
 
 
+def bound_methods(x: _File) -> dict[str, tuple[tuple[str, ...], tuple[str, ...]]]:
+    """By method that is bound: the only kinds and the only zones that it may be sent to."""
+    return {m.name: (m.allowed_on, m.runs_in) for m in x.method if m.allowed_on or m.runs_in}
+
+
 EXPECT = re.compile(
     r"(\w+) (>=|<=) ([\d.]+)(?: of ([\w-]+))?(?: from ([\d.]+) to ([\d.]+)| within ([\d.]+) s of "
     r"the end of fault (\d+))?"
@@ -236,6 +244,7 @@
     bad("fleet.caches", 1 <= f.fleet.caches <= 500, "wants 1 to 500")
     bad("fleet.speeds", bool(f.fleet.speeds) and min(f.fleet.speeds, default=0) > 0, "wants figures over 0")
     bad("fleet.cold_from", 0 < f.fleet.cold_from <= 1, "wants more than 0, at most 1")
+    bad("fleet.kinds", bool(f.fleet.kinds) and "origin" not in f.fleet.kinds, "wants names, not origin")
     bad("nodes.count", 1 <= f.nodes.count <= 1000, "wants 1 to 1000")
     bad("nodes.sockets", f.nodes.sockets >= 64, "wants 64 or more")
     bad("traffic.rate", f.traffic.rate > 0, "wants more than 0")
--- a/hookpitch/lab/judge.py
+++ b/hookpitch/lab/judge.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from hookpitch.standin.history import Event, History
@@ -31,6 +31,8 @@
     most_transmissions: int = 3
     second_copies: bool = False
     retriable: Mapping[str, bool] = field(default_factory=dict)  # by method: whether it may run again
+    # By method that is bound: the only kinds and the only zones it may be sent to; none named: any.
+    bound: Mapping[str, tuple[Sequence[str], Sequence[str]]] = field(default_factory=dict)
     # Where the network itself tells nothing (on loopback): for how long two transmissions may seem to be out,
     # and how soon after an RPC was asked its connection's end counts as one that crossed it.
     overlap_ms: float = 0.0
@@ -70,6 +72,7 @@
         self._away = [(e.who, e.at, e.at + e.value + SLACK_MS) for e in history.events if e.kind == "away"]
         self._away += [(e.who, e.at - SLACK_MS, e.at + SLACK_MS) for e in history.events if e.kind == "stop"]
         self._unread = {(e.who, e.port) for e in history.events if e.kind == "unread"}
+        self._places = {e.who: tuple(e.what.split(" ")) for e in history.events if e.kind == "place"}
         self._network(history)
         for rpc, story in self._stories.items():
             self._rpc(rpc, story, end)
@@ -147,6 +150,11 @@
                 out = [(server, min(since, e.at)) for server, since in out]
                 if ran and not self.rules.retriable.get(method, True):
                     self._say("rule 2", e.at, rpc, "sent again though it may have run")
+                kinds, zones = self.rules.bound.get(method, ((), ()))
+                place = self._places.get(e.who)  # the origin has none, and is open to all
+                if place and ((kinds and place[0] not in kinds) or (zones and place[1] not in zones)):
+                    why = f"sent to {e.who} ({', '.join(place)}), which is not open to {method}"
+                    self._say("placement", e.at, rpc, why)
                 if came > self.rules.most_transmissions:
                     self._say("transmissions", e.at, rpc, f"transmission number {came}")
                 out.append((e.who, float("inf")))
--- a/hookpitch/lab/run.py
+++ b/hookpitch/lab/run.py
@@ -16,7 +16,7 @@
 from zlib import crc32
 
 from hookpitch.core.counters import Counters
-from hookpitch.lab.experiment import Experiment, Fault
+from hookpitch.lab.experiment import bound_methods, Experiment, Fault
 from hookpitch.lab.judge import UNUSED_MS, Broken, Judge, Rules
 from hookpitch.lab.virtual import End, Machine, World
 from hookpitch.net.clock import Clock
@@ -277,9 +277,9 @@
     def list_server(self, name: str, n: int, cold: bool) -> None:
         zone = n % self.x.fleet.zones
         born = (self.world.epoch * 1000 + self.now()) if cold else 0.0
-        listed = Listed(
-            name, self.dial(name), "std", f"z{zone}", n, "in_service", 1.0, born
-        )
+        kind = self.x.fleet.kinds[n % len(self.x.fleet.kinds)]
+        listed = Listed(name, self.dial(name), kind, f"z{zone}", n, "in_service", 1.0, born)
+        self.history.add(self.now(), "place", name, what=f"{kind} {listed.site}")
         self.discovery.put(listed)
 
     def _warm(self) -> None:
@@ -301,6 +301,7 @@
         """What a node is told at its start, as the platform's JSON; `net` as discovery has it for this
         node."""
         x, seq_hosts = self.x, self.directory.whole()
+        kinds = list(dict.fromkeys(x.fleet.kinds))
         methods = [
             {
                 "name": m.name,
@@ -308,6 +309,8 @@
                 "hard_deadline_s": m.hard_ms / 1000,
                 "gain": m.gain,
                 "idempotency": m.idempotency,
+                "allowed_on": list(m.allowed_on),
+                "runs_in": list(m.runs_in),
             }
             for m in x.method
         ]
@@ -321,8 +324,8 @@
             "settings": {
                 "balancers": x.nodes.count,
                 "methods": methods,
-                "host_types": ["std", "origin"],
-                "family_info": {"mode": "aside", "origin_kind": 1},
+                "host_types": [*kinds, "origin"],
+                "family_info": {"mode": "aside", "origin_kind": len(kinds)},
                 "limits": {
                     "most_transmissions": 3,
                     "cancelling": True,
@@ -346,6 +349,7 @@
             # With fewer keys than caches, a node has no use for each of them.
             unused_ms=float("inf") if x.traffic.keys < x.fleet.caches else UNUSED_MS,
             heads=x.nodes.sockets >= SOCKETS_FOR_ALL,
+            bound=bound_methods(x),
         )
 
     def counted(self, node: Node, counters: Counters) -> None:
--- a/hookpitch/lab/wall.py
+++ b/hookpitch/lab/wall.py
@@ -21,7 +21,7 @@
 
 from twisted.internet.error import CannotListenError
 
-from hookpitch.lab.experiment import Experiment, Fault
+from hookpitch.lab.experiment import bound_methods, Experiment, Fault
 from hookpitch.lab.judge import Broken, Judge, Rules
 from hookpitch.lab.run import BEFORE_S, SETTLE_S, Ended, Happening, Run
 from hookpitch.standin.cache_server import CacheServer
@@ -175,7 +175,8 @@
 
     def rules(self) -> Rules:
         retriable = {m.name: m.idempotency == "retryable" for m in self.x.method}
-        return Rules(retriable=retriable, overlap_ms=50.0, crossing_ms=20.0)
+        bound = bound_methods(self.x)
+        return Rules(retriable=retriable, overlap_ms=50.0, crossing_ms=20.0, bound=bound)
 
     def run(self) -> Ended:
         begun = time.perf_counter()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,13 +1,18 @@
 """Placement binds every transmission, and where gone is advice a listing as gone binds none."""
 
+from pathlib import Path
 from zlib import crc32
 
 import pytest
 from fleet import ORIGIN, Fleet, deployment, entry
 
-from hookpitch.balancer.decisions import BUCKETS
+from hookpitch.balancer.decisions import BUCKETS, Node
 from hookpitch.balancer.deployment import deployment as read
 from hookpitch.balancer.interface import ListKind, Method, Outcome, State
+from hookpitch.lab.experiment import load
+from hookpitch.lab.judge import Judge, Rules
+from hookpitch.lab.run import Run
+from hookpitch.standin.history import History
 
 ON_STD = Method("status", 400.0, 1000.0, 1.0, kinds=("std",))
 
@@ -97,3 +102,25 @@
     for bad in ("std", [1], [""]):
         with pytest.raises(ValueError, match="allowed_on"):
             read(1, {"methods": [method | {"allowed_on": bad}]})
+
+
+def test_the_judge_sees_a_transmission_that_strays_and_lets_the_origin_be() -> None:
+    rules = Rules(bound={"status": (("std",), ())})
+    for server, broken in (("s1", []), ("s0", ["placement"]), ("origin", [])):
+        history = History()
+        history.add(0.0, "place", "s0", what="fast z0")
+        history.add(0.0, "place", "s1", what="std z1")
+        history.add(1000.0, "asked", "n0", "q1", "status", 500.0, 7)
+        history.add(1001.0, "came", server, "q1", "n0", 0.0, 1)
+        history.add(1002.0, "sent", server, "q1", "hit")
+        history.add(1003.0, "answered", "n0", "q1", "completed")
+        assert [b.rule for b in Judge(rules).judge(history, 60000.0)] == broken
+
+
+def test_a_node_whose_placement_is_taken_out_on_purpose_fails_the_experiment(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    x = load(Path(__file__).parent.parent / "experiments" / "core-placement.toml")
+    assert not Run(x, x.seed).run().broken
+    monkeypatch.setattr(Node, "_open", lambda *_: True)
+    assert "placement" in {b.rule for b in Run(x, x.seed).run().broken}
