--- /dev/null
+++ b/tests/test_blame.py
@@ -0,0 +1,193 @@
+"""No server is blamed for what would fail anywhere; what falls by turns; what is told and is not so."""
+
+import pytest
+from fleet import ORIGIN, Fleet, deployment, entry
+
+from hookpitch.balancer.interface import Customer, Idempotency, ListKind, Method, Outcome, State
+
+
+def fleet(servers: int = 6, **changes: object) -> Fleet:
+    f = Fleet(deployment(**({"max_transmissions": 5} | changes)))
+    f.listed([entry(f"s{i}") for i in range(servers)] + [entry("o1", kind=ORIGIN)], ListKind.CACHED)
+    return f
+
+
+def last(f: Fleet, rpc: str) -> str:
+    return f.txs[rpc][-1]["server"]
+
+
+def fail(f: Fleet, rpc: str, outcome: Outcome = Outcome.ERROR) -> int:
+    """Every transmission of the RPC ends so; how many there were."""
+    while rpc in f.open:
+        f.end(rpc, outcome)
+    return len(f.txs[rpc])
+
+
+@pytest.mark.parametrize("key", ["same", ""])
+def test_rpcs_that_fail_anywhere_strike_no_server_and_go_out_twice_at_most(key: str) -> None:
+    f = fleet()
+    for i in range(300):  # two in five fail, as many as were seen
+        f.end(f.arrive(f"good{i}"), Outcome.COMPLETED)
+        if i % 3:
+            assert fail(f, f.arrive(key or f"bad{i}")) <= 2
+    assert not any(s.off or s.failures for s in f.node.servers.values())
+    assert not any(to == "o1" for _, to, _ in f.sends), "the origin is not asked for what failed twice"
+
+
+def test_second_opinions_are_a_part_of_the_good_answers() -> None:
+    f = fleet()
+    twice = sum(fail(f, f.arrive(f"bad{i}")) - 1 for i in range(100))
+    assert twice == 10
+    for i in range(200):
+        f.end(f.arrive(f"good{i}"), Outcome.COMPLETED)
+    assert sum(fail(f, f.arrive(f"bad{i}")) - 1 for i in range(100)) == 10
+
+
+def test_a_server_that_fails_what_others_serve_goes_off_the_path() -> None:
+    f = fleet()
+    for i in range(60):
+        rpc = f.arrive(f"k{i}")
+        f.end(rpc, Outcome.ERROR if last(f, rpc) == "s2" else Outcome.COMPLETED)
+        if rpc in f.open:
+            f.end(rpc, Outcome.COMPLETED)
+    assert f.node.servers["s2"].off and sum(s.off for s in f.node.servers.values()) == 1
+
+
+def test_what_is_vain_has_its_answer_in_the_same_turn_and_gives_its_token_back() -> None:
+    f = fleet(customers=(Customer("c", 10.0),), max_retry_after_ms=400.0)
+    share = f.node.shares["c"]
+    tokens = share.tokens
+    rpc = f.arrive("bad", customer="c")
+    f.end(rpc, Outcome.ERROR)
+    f.end(rpc, Outcome.ERROR)
+    assert f.answers[rpc] == "exhausted" and share.tokens == pytest.approx(tokens)
+
+
+def test_a_write_that_the_origin_fails_goes_out_twice_at_most() -> None:
+    f = fleet()
+    f.end(f.arrive("w", write=True), Outcome.COMPLETED)  # the origin is well
+    assert fail(f, f.arrive("w", write=True)) == 2
+
+
+def test_gone_is_advice_where_the_settings_say_so_and_draining_binds() -> None:
+    f = fleet(2, gone_is_advice=True)
+    f.pass_time(5000.0)
+    f.listed([entry("s0", State.GONE), entry("s1", State.GONE)], ListKind.DELTA)
+    assert all(f.node.servers[s].off for s in ("s0", "s1"))  # off the path, to be tried
+    f.pass_time(2000.0)
+    rpc = f.arrive("k")
+    assert rpc in f.open and len(f.sends) == 1  # with one RPC at a time
+    f.end(rpc, Outcome.COMPLETED)
+    assert not f.node.servers[f.sends[0][1]].off
+    f.listed([entry("s0", State.DRAINING), entry("s1", State.DRAINING)], ListKind.DELTA)
+    f.listed([entry("s0", State.GONE), entry("s1", State.GONE)], ListKind.DELTA)
+    f.arrive("k")
+    assert len(f.sends) == 1
+
+
+def test_what_answered_lately_stays_on_the_path_though_listed_as_gone_and_elsewhere_gone_binds() -> None:
+    for advice in (True, False):
+        f = fleet(1, gone_is_advice=advice)
+        f.end(f.arrive("k"), Outcome.COMPLETED)
+        f.listed([entry("o1", kind=ORIGIN)])  # left out of a full list
+        rpc = f.arrive("k")
+        assert (rpc in f.open) == advice and len(f.sends) == 1 + advice
+
+
+def test_what_falls_again_soon_goes_off_at_one_failure_and_is_forgiven_later() -> None:
+    f = fleet(1)
+    s = f.node.servers["s0"]
+    for n in range(3):
+        assert not s.off, f"off after {n}"
+        f.node._strike(s)
+    assert s.off
+    f.pass_time(s.backoff + 1)
+    f.end(f.arrive("k"), Outcome.COMPLETED)
+    assert not s.off
+    f.node._strike(s)
+    assert s.off and s.backoff > f.node.pause  # the pause before it counts on
+    f.pass_time(s.backoff + 1)
+    f.end(f.arrive("k"), Outcome.COMPLETED)
+    f.pass_time(8 * f.node.pause + 2000.0)
+    f.node._strike(s)
+    assert not s.off
+
+
+def test_a_cache_slower_than_a_fifth_of_the_soft_deadline_gets_less_and_the_origin_does_not() -> None:
+    f = fleet(1)
+    s, o = f.node.servers["s0"], f.node.origin
+    before, at_origin = s.limit, o.limit
+    rpc = f.arrive("k")
+    f.pass_time(100.0)
+    f.end(rpc, Outcome.MISS)
+    assert s.limit < before
+    f.pass_time(100.0)
+    f.end(rpc, Outcome.COMPLETED)
+    assert o.limit >= at_origin
+
+
+def test_load_measured_goes_before_load_told_and_true_reports_are_heeded_again() -> None:
+    f = fleet(3, nodes=2)
+    for i in range(400):
+        rpc = f.arrive(f"k{i % 60}")
+        s = last(f, rpc)
+        f.pass_time(60.0 if s == "s1" else 4.0)
+        n = len(f.txs[rpc]) - 1
+        f.out.remove((rpc, n))
+        f._final(rpc, "completed")
+        told = {"inflight": 0.1 if s == "s1" else 0.5}  # the slow one says that it idles
+        f.node.tx_ended(f.now, rpc, n, Outcome.COMPLETED, True, f.now - f.txs[rpc][n]["at"], told)
+        f.settle()
+    by = {s.id: s.c for s in f.node.caches}
+    assert by["s1"] == max(by.values())
+
+
+def test_a_deduped_rpc_is_not_called_off_when_it_may_not_go_out_again() -> None:
+    method = Method("log", 800.0, 1500.0, 2.0, idempotency=Idempotency.DEDUPED, window_ms=300.0)
+    f = fleet(2, methods=(method,))
+    f.end(f.arrive("k", write=True), Outcome.COMPLETED)
+    rpc, other = f.arrive("k", write=True), f.arrive("j", write=True)
+    f.pass_time(200.0)
+    f.end(other, Outcome.COMPLETED)  # the origin answers, so the first looks lost
+    f.pass_time(500.0)
+    assert "called_off" not in f.txs[rpc][0] and rpc in f.open
+    f.end(rpc, Outcome.COMPLETED)
+    assert f.answers[rpc] == "completed"
+
+
+def test_an_origin_that_answers_as_usual_is_not_crowded_however_much_is_out_there() -> None:
+    f = fleet(4)
+    o = f.node.origin
+    o.latency = o.usual = 50.0
+    o.live = dict.fromkeys(range(int(o.limit)))
+    assert not f.node._crowded()
+    o.latency = 80.0
+    assert f.node._crowded()
+    o.live = {}
+    assert not f.node._crowded()
+
+
+def test_what_waited_in_vain_goes_on_while_the_origin_is_at_ease() -> None:
+    f = fleet(2)
+    first = f.arrive("k")
+    home = f.node.servers[last(f, first)]
+    home.limit = 1.0
+    other = next(s for s in f.node.caches if s is not home)
+    other.limit = 1.0
+    blocker = next(r for r in (f.arrive(f"x{i}") for i in range(40)) if f.txs[r] and last(f, r) == other.id)
+    waits = f.arrive("k")
+    assert not f.txs[waits]
+    f.end(blocker, Outcome.COMPLETED)
+    f.pass_time(150.0)
+    assert waits in f.open and f.txs[waits] and last(f, waits) == other.id
+
+
+def test_bound_methods_leave_the_rest_fewer_points_of_their_servers() -> None:
+    method = (Method("page", 400.0, 1000.0, 1.0), Method("status", 400.0, 1000.0, 1.0, kinds=("std",)))
+    f = Fleet(deployment(methods=method, kinds=("fast", "std")))
+    f.listed([entry(f"s{i}", kind=i % 2) for i in range(6)])
+    free = {s.kind: s.free for s in f.node.caches}
+    assert free[0] == 1.0 and free[1] == 0.5
+    homes = [f.node._bucket(n).home.kind for n in range(400)]
+    assert 0.2 < sum(homes) / 400 < 0.45  # half without it
+    assert all(f.node._bucket(n, ("std",)).home.kind == 1 for n in range(50))
