--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -311,7 +311,7 @@
             held = report.get("utilisation", report.get("inflight", report.get("queue", -2.0) + 1))
             s.load += (held - s.load) / 8 if s.load >= 0 else held + 1
         if outcome <= Outcome.MISS:
-            self._answered(tx, took, outcome == Outcome.COMPLETED)
+            self._answered(tx, took, outcome == Outcome.COMPLETED and not (rpc.write and s is self.origin))
             if rpc.accused not in (None, s, self.origin) and not rpc.vain:  # another can do what it could not
                 self._strike(rpc.accused)
                 rpc.accused = None
@@ -640,7 +640,7 @@
         slow = TARGET * tx.rpc.method.soft_ms  # Danger: work at the origin that varies, taken for congestion.
         # Danger: with most caches cold, an even part is little, and RPCs are turned away before idle caches.
         s.boost = min(self.boost_most, s.boost * 1.1) if took < slow / 2 else 1.0
-        if took > slow * SLOW / TARGET if s is not self.origin else took > slow and s.latency > 0.7 * slow:
+        if took > slow * SLOW / TARGET if s is not self.origin else full_work and took > slow and s.latency > 0.7 * slow:
             s.limit, s.growth = max(s.least, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
             s.limit += (1.0 if s is self.origin else s.growth) * min(s.limit, 1 / s.limit)
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -191,3 +191,17 @@
     homes = [f.node._bucket(n).home.kind for n in range(400)]
     assert 0.2 < sum(homes) / 400 < 0.45  # half without it
     assert all(f.node._bucket(n, ("std",)).home.kind == 1 for n in range(50))
+
+
+def test_writes_slow_at_the_origin_by_nature_are_no_congestion_and_slow_reads_are() -> None:
+    for write in (True, False):
+        f = fleet(1)
+        o = f.node.origin
+        before = o.limit
+        for i in range(30):
+            rpc = f.arrive(f"k{i}", write=write)
+            if not write:
+                f.end(rpc, Outcome.MISS)
+            f.pass_time(230.0)  # of a soft deadline of 400
+            f.end(rpc, Outcome.COMPLETED)
+        assert (o.limit >= before) == write
