--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -640,7 +640,7 @@
         slow = TARGET * tx.rpc.method.soft_ms  # Danger: work at the origin that varies, taken for congestion.
         # Danger: with most caches cold, an even part is little, and RPCs are turned away before idle caches.
         s.boost = min(self.boost_most, s.boost * 1.1) if took < slow / 2 else 1.0
-        if took > slow * SLOW / TARGET if s is not self.origin else full_work and took > slow and s.latency > 0.7 * slow:
+        if full_work and took > slow < s.latency / 0.7 if s is self.origin else took > slow * SLOW / TARGET:
             s.limit, s.growth = max(s.least, s.limit * 0.9), 0.25
         elif len(s.live) + 2 > s.limit:
             s.limit += (1.0 if s is self.origin else s.growth) * min(s.limit, 1 / s.limit)
