Faults of links and processes by groups; links between nodes, datagrams too, in virtual time

Cause: cut links, stalled peers and restarts could be said of one server at a time and in virtual time alone; overlapping cuts ended with the first one.

--- a/hookpitch/cli/lab.py
+++ b/hookpitch/cli/lab.py
@@ -128,11 +128,19 @@
 @click.option("--runs", type=int, default=100, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--keep", type=click.Path(path_type=Path), help="Write what is found there, as experiments.")
-def fuzz(runs: int, seed: int, keep: Path | None) -> None:
+@click.option("--only", help="Kinds of faults, with commas; `links` and `processes` are theirs.")
+def fuzz(runs: int, seed: int, keep: Path | None, only: str | None) -> None:
     """Draw experiments, run them, and shrink those that break a rule."""
     from hookpitch.lab import fuzz as fuzzing
-
-    found = fuzzing.fuzz(runs, seed, lambda text: click.echo(text, err=True))
+    from hookpitch.lab.experiment import ON_LINKS, ON_PROCESSES
+
+    groups = {"links": ON_LINKS, "processes": ON_PROCESSES}
+    words = only.split(",") if only else []
+    kinds = [kind for word in words for kind in groups.get(word, (word,))] or fuzzing.KINDS
+    for kind in kinds:
+        if kind not in fuzzing.KINDS:
+            _fail(ValueError(f"--only: '{kind}' is none of links, processes, {', '.join(fuzzing.KINDS)}"))
+    found = fuzzing.fuzz(runs, seed, lambda text: click.echo(text, err=True), kinds)
     for one in found:
         click.echo(f"seed {one.seed}: {', '.join(one.broken)}\n  {one.first}")
         if keep is not None:
--- /dev/null
+++ b/hookpitch/lab/nodes.py
@@ -0,0 +1,132 @@
+"""A node in virtual time: its place, and the processes that run there."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from hookpitch.core.counters import Counters
+from hookpitch.lab.virtual import Machine
+from hookpitch.net.clock import Clock
+from hookpitch.net.node import BACKLOG, SocketNode
+from hookpitch.net.start import read_post
+
+if TYPE_CHECKING:
+    from hookpitch.lab.run import Run
+
+DISCOVERY_PORT, NODE_PORT, DOOR_PORT = 8500, 6379, 15000
+READY_S = 6.0  # by then a new process beside an old one serves
+LOOK_S = 0.1  # between two looks at whether it does
+ENDED_S = 0.7  # past its longest deadline, an old process is killed
+
+
+class _Log:
+    """A node's log lines, kept with their times."""
+
+    def __init__(self, run: Run, name: str) -> None:
+        self.run, self.name = run, name
+
+    def info(self, event: str, **values: object) -> None:
+        if len(self.run.logs) < 10000:
+            self.run.logs.append((self.run.now(), self.name, event))
+
+
+class Node:
+    """A node's place: its machine, and the process that runs there now."""
+
+    def __init__(self, run: Run, name: str, address: str) -> None:
+        self.run, self.name, self.address = run, name, address
+        self.machine = run.world.machine(address, descriptors=run.x.nodes.sockets)
+        self.machine.event_cost = run.x.nodes.event_us / 1e6
+        self.starts = 0
+        self.node: SocketNode | None = None
+        self.elder: SocketNode | None = None  # the process before it, while it still serves
+        self.counters = Counters()
+        # Where an upgrade is due, the socket is the platform's and every process inherits it.
+        self.upgraded = any(f.what == "node_upgrade" and f.whom == name for f in run.x.fault)
+        if self.upgraded:
+            self.machine.hand_down(run.descriptor, NODE_PORT, BACKLOG)
+        self.door = DOOR_PORT
+
+    def start(self) -> None:
+        run, self.starts = self.run, self.starts + 1
+        run.history.add(run.now(), "start", self.name)
+        machine, self.door = self.machine, DOOR_PORT + self.starts - 1
+        reactor = machine.start()
+        top = run.told(self, f"10.2.0.1:{DISCOVERY_PORT}")
+        told = read_post(top | {"management": f"{self.address}:{self.door}"}, {})
+        if self.upgraded:
+            process = f"{self.starts}"
+            told = replace(told, inherited=run.descriptor, shared=run.folder.name, process=process)
+        world, self.counters = run.world, Counters()
+        clock = Clock(reactor, reactor.seconds, lambda: world.epoch + world.now)
+        log = _Log(run, self.name)
+        self.node = SocketNode(reactor, clock, told, self.counters, log, lambda: machine.used)
+        self.node.start()
+
+    def upgrade(self) -> None:
+        """A second process beside the first, which gets SIGTERM once the new one says yes."""
+        if self.node is None or self.elder is not None:
+            return
+        old, machine, counters = self.node, self.machine, self.counters
+        self.elder, self.machine = old, machine.beside()
+        self.start()
+        self._when_ready(old, machine, counters, self.run.now() + READY_S * 1000)
+
+    def false_start(self) -> None:
+        """A second process that dies as soon as it has begun; the first serves on."""
+        if self.node is None or self.elder is not None:
+            return
+        old, machine, counters, door = self.node, self.machine, self.counters, self.door
+        self.machine = machine.beside()
+        self.start()
+        self.run.counted(self, self.counters)
+        self.machine.kill()
+        if self.node.shared is not None:  # the kernel lets go of a dead process's locks
+            self.node.shared.close()
+        self.node, self.machine, self.counters, self.door = old, machine, counters, door
+
+    def _when_ready(self, old: SocketNode, machine: Machine, counters: Counters, latest: float) -> None:
+        run = self.run
+        if self.node is None:
+            return
+        if self.node.ready():
+            if run.now() > latest:
+                run.history.add(run.now(), "call", self.name, what="late: a new process says no for 6 s")
+            run.world.at(run.world.now + LOOK_S, None, self._when_ready, old, machine, counters, latest)
+            return
+
+        def ended() -> None:
+            if self.elder is old:
+                self.elder = None
+                run.counted(self, counters)
+                machine.kill()
+
+        machine.reactor.stopped = lambda: run.world.at(run.world.now, None, ended)
+        old.leave()
+        run.world.at(run.world.now + old.host.patience / 1000 + ENDED_S, None, ended)
+
+    def kill(self) -> None:
+        self.run.history.add(self.run.now(), "stop", self.name)
+        self.run.counted(self, self.counters)
+        self.machine.kill()
+        self.node = None
+
+    def processes(self) -> list[SocketNode]:
+        """Those that serve now, the elder first."""
+        return [one for one in (self.elder, self.node) if one is not None]
+
+    def leave(self) -> None:
+        """SIGTERM."""
+        if self.node is not None:
+            self.node.leave()
+
+    def at_door(self) -> tuple[str, int]:
+        return self.address, self.door
+
+    def call(self, line: str) -> str:
+        """An operator's call, answered at once; while two processes are one node, either may be called."""
+        words = line.split()
+        if len(words) == 1:
+            return getattr(self.node, words[0].lower())()
+        return getattr(self.run.chance.choice(self.processes()), words[0].lower())(words[1])
--- a/hookpitch/standin/crowd.py
+++ b/hookpitch/standin/crowd.py
@@ -63,6 +63,7 @@
     fresh: float = 0.0  # the part that opens a connection of its own and closes it after
     most: int = 200  # connections to a node
     slow: float = 0.0  # the part of connections that pause after each piece they read
+    halving: float = 0.0  # of those that close after one RPC, the part that closes its own way at once
 
 
 class Keys:
@@ -123,6 +124,8 @@
         if chance < crowd.manner.leaving:
             crowd.reactor.callLater(left * crowd.chance.random() / 1000, self.leave, asked)
         crowd.reactor.callLater((left + GRACE_MS) / 1000, self.give_up, asked)
+        if self.single and crowd.manner.halving and crowd.chance.random() < crowd.manner.halving:
+            self.transport.loseWriteConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self.ring.write(data)
--- a/hookpitch/standin/history.py
+++ b/hookpitch/standin/history.py
@@ -27,8 +27,9 @@
     `dropped` (its connection ended first), `up` (value: share of full speed), `down`, `fell` (pushed
     over, value: how far); discovery: `told` (who: the node; what: server and health), `listed` (who:
     the server; what: health); whoever runs the nodes: `start`, `stop`, `away` (stopped for `value` ms),
-    `leaving`, `banned` and `back` (who: the node that said yes, what: the server), `held` (a drained node
-    holds `value` clients' connections); a client that takes its time to write: `cut` (closed meanwhile);
+    `apart` (the node's link to clients or discovery is spoilt for `value` ms), `leaving`, `banned` and
+    `back` (who: the node that said yes, what: the server), `held` (a drained node holds `value` clients'
+    connections); a client that takes its time to write: `cut` (closed meanwhile);
     an operator: `call` (who: the node, what: how it was answered); the
     network, where it can: `closed` (a node closed its connection to a server), `unread`
     (a node closed a client's connection and had not read all that had come, or more came after).
--- a/hookpitch/standin/origin.py
+++ b/hookpitch/standin/origin.py
@@ -20,12 +20,17 @@
     """Fetches and writes; knows at which caches an RPC missed, and stores its value there."""
 
     def __init__(self, make: OriginMake, now: float, chance: object) -> None:
-        work = Make(cores=make.cores, line=make.line, plain_ms=make.work_ms, keys=0, connections=1 << 30)
-        self.queue = Cache("origin", work, now, cold=False, chance=chance)
+        self.work = Make(cores=make.cores, line=make.line, plain_ms=make.work_ms, keys=0, connections=1 << 30)
+        self.queue = Cache("origin", self.work, now, cold=False, chance=chance)
         self.missed: dict[str, list[Cache]] = {}  # by RPC
         self.caches: dict[str, Cache] = {}
         self.fetches = self.writes = 0
 
+    def forget(self) -> None:
+        """Its process is no more: neither its work nor who missed what is known to the next one."""
+        self.queue = Cache("origin", self.work, 0.0, cold=False, chance=self.queue.chance)
+        self.missed.clear()
+
     def miss(self, rpc: str, cache: Cache) -> None:
         self.missed.setdefault(rpc, []).append(cache)
         if len(self.missed) > 20000:  # those that were never fetched
--- a/hookpitch/standin/web.py
+++ b/hookpitch/standin/web.py
@@ -168,6 +168,15 @@
             self.history.add(self.now(), "dropped", self.name, job.rpc)
             self.origin.queue.dropped(self.now(), job)
 
+    def die(self) -> None:
+        """The process is gone at once, with all its work; whoever runs the machine ends its connections."""
+        for job in list(self.open):
+            self.dropped(job)
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer, self._timer_at = None, FAR
+        self.origin.forget()
+
 
 class DiscoveryConnection(Http):
     def __init__(self, server: DiscoveryServer) -> None:
@@ -223,6 +232,12 @@
         self.watchers: dict[DiscoveryConnection, None] = {}
         reactor.callLater(BEAT_S, self.beat)
 
+    def begin(self) -> None:
+        """A new process, which counts versions from one."""
+        self.watchers.clear()
+        self.reactor.callLater(BEAT_S, self.beat)
+        self.come_up(anew=True)
+
     def now(self) -> float:
         return (self.reactor.seconds() - self.begun) * 1000
 
