--- a/hookpitch/cli/lab.py
+++ b/hookpitch/cli/lab.py
@@ -53,13 +53,22 @@
 @click.option("--seed", type=int, help="In place of the file's.")
 @click.option("--json", "json_path", type=click.Path(path_type=Path), help="Write the figures there.")
 @click.option("--report", type=click.Path(path_type=Path), help="Write an HTML page there.")
+@click.option("--logs", type=click.Path(path_type=Path), help="Keep every process's log there (wall).")
 def run(
-    names: tuple[str, ...], clock: str, seed: int | None, json_path: Path | None, report: Path | None
+    names: tuple[str, ...],
+    clock: str,
+    seed: int | None,
+    json_path: Path | None,
+    report: Path | None,
+    logs: Path | None,
 ) -> None:
-    """Run experiments. Exit 0: rules and expectations hold; 1: not; 2: a file is wrong."""
+    """Run experiments. Exit 0: rules and expectations hold; 1: not; 2: a file is wrong, or a run did not come
+    about; 3: the rig fell behind, and nothing is judged."""
     from hookpitch.lab.experiment import load
     from hookpitch.lab.figures import summary
 
+    if clock == "wall" and len(names) > 1:
+        _fail(ValueError("one experiment at a time with --clock wall: its reactor runs once"))
     good, told = True, list[dict[str, Any]]()
     for name in names:
         try:
@@ -74,7 +83,8 @@
             from hookpitch.lab.wall import run_on_loopback
 
             try:
-                ended = run_on_loopback(x, x.seed if seed is None else seed)
+                progress = _progress if sys.stderr.isatty() else None
+                ended = run_on_loopback(x, x.seed if seed is None else seed, logs, progress)
             except ValueError as fault:
                 _fail(fault)
         figures = summary(ended)
@@ -86,9 +96,15 @@
         from hookpitch.lab.report import page
 
         report.write_text("".join(page(figures) for figures in told))
+    if any(figures["void"] for figures in told):
+        sys.exit(3)
     sys.exit(0 if good else 1)
 
 
+def _progress(text: str) -> None:
+    click.echo(f"\r{text}", err=True, nl=False)
+
+
 def _say(figures: dict[str, Any]) -> bool:
     whole = figures["whole"]
     click.echo(
@@ -97,6 +113,13 @@
         f"in {figures['real_s']:.1f} s, "
         f"digest {figures['digest'][:12]}"
     )
+    for text in figures["void"]:
+        click.echo(f"  void: {text}")
+    for text in figures["programs"][:5]:
+        click.echo(f"  raised: {text}")
+    if figures["rig"]:
+        who, ms = max(figures["rig"].items(), key=lambda item: item[1])
+        click.echo(f"  the rig was {ms:.0f} ms late at the worst ({who}); bounds are wider by that")
     for text in figures["broken"][:5]:
         click.echo(f"  broken: {text}")
     if len(figures["broken"]) > 5:
--- a/hookpitch/lab/figures.py
+++ b/hookpitch/lab/figures.py
@@ -132,6 +132,8 @@
         "sent_to": dict(sorted(sent.items())),
         "broken": [str(b) for b in ended.broken],
         "programs": ended.faults,
+        "void": ended.void,
+        "rig": ended.rig,
         "no_room": ended.no_room,
         "expected": [{"text": e.text, "figure": round(v, 4), "holds": h} for e, v, h in expected(ended)],
         "faults": [{"what": f.what, "whom": f.whom, "at": f.at, "end": f.end} for f in x.fault],
