--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 from hashlib import shake_128
+from itertools import count
 from zlib import crc32
 
 from hookpitch.balancer.interface import NEVER_RAN, Deployment, Entry, Host, Idempotency, ListKind
@@ -155,7 +156,7 @@
 
 class Node:  # one instance: it shares nothing with any other
     def __init__(self, now: float, d: Deployment) -> None:
-        self.now, self.seed, self.draws, self.part = now, d.seed, 0, 1.0  # part: another process has the rest
+        self.now, self.seed, self.draws, self.part = now, d.seed, count(1), 1.0  # part: another has the rest
         self.shares, self.mix, self.kinds = dict[str, Share](), dict[str, float](), d.kinds
         self.servers, self.rpcs, self.bans = dict[str, Server](), dict[str, Rpc](), dict[str, None]()
         self.origin, self.ring = None, array("Q")  # a point, and in sixteen bits a cache's place in `caches`
@@ -268,7 +269,7 @@
             return
         m = self.methods.get(method) or Method(method, grace, grace, 0.0, 0.0, Idempotency.NON_RETRIABLE)
         # A keyless RPC still needs a bucket: any will do.
-        number = crc32(key.encode() or b"%d/%d" % (self.seed, self._count())) % BUCKETS
+        number = crc32(key.encode() or b"%d/%d" % (self.seed, next(self.draws))) % BUCKETS
         bucket = self._bucket(number, m.kinds, m.zones)
         if key and key not in self.young:
             bucket.keys += key not in self.old
@@ -277,7 +278,7 @@
             self.typical += (work - self.typical) * (0.05 if self.typical else 1.0) if work > 0 else 0.0
             self.flow[method] += work / self.typical if work > 0 else 1.0
         self._heavy(bucket)
-        bucket.count, rpc = bucket.count + 1, Rpc(self._count(), id, key, bucket, m, write)
+        bucket.count, rpc = bucket.count + 1, Rpc(next(self.draws), id, key, bucket, m, write)
         useful = grace if m.late_gain > 0 else min(grace, m.soft_ms)
         # Danger: what stood unread here has that much less time; `grace` counts from when it came.
         rpc.until, rpc.aim = now + useful - age - self.margin, now + m.soft_ms - age - self.margin
@@ -452,7 +453,7 @@
                     self.freed.append(rpc.queued)
             elif now < (anew := max(tx.sent + self.lag, self.away_at) + PATIENCE * rpc.method.soft_ms):
                 if not tx.done:  # Danger: an answer that stands unread here taken for its server's silence
-                    heapq.heappush(self.wakes, (anew, self._count(), rpc, tx))
+                    heapq.heappush(self.wakes, (anew, next(self.draws), rpc, tx))
             elif not (tx.done or tx.counted or tx.server is self.origin and tx.server.answered_at < tx.sent):
                 # Danger: a server silent since the send looks idle; one lost answer holds its RPC to the end.
                 s, lost, tx.counted = tx.server, not any(t.counted for t in rpc.txs), True
@@ -493,7 +494,7 @@
         heapq.heappush(s.again if rpc.txs else s.first, (rpc.over, -rpc.method.gain, rpc.n, rpc))
         rpc.queued, rpc.line = s, self.now + max(0.0, min(WAIT * left, left - s.latency))
         for at in (rpc.line, max(s.rest_until, self.now)):
-            heapq.heappush(self.wakes, (at, self._count(), rpc, None))
+            heapq.heappush(self.wakes, (at, next(self.draws), rpc, None))
         room = max(1.0, s.limit * WAIT * rpc.method.soft_ms / max(s.latency, 1.0))
         if len(s.first) + len(s.again) > room:  # Danger: a long line makes everyone late; its last goes.
             line = s.again or s.first
@@ -524,7 +525,7 @@
         soft = rpc.method.soft_ms  # Danger: a server that fails or is slow is waited for to the end.
         usual = min(2 * self.work / s.size, COPY_BY * soft) if self.copies else 4 * s.latency
         usual *= not (self.copies and s.failures)
-        heapq.heappush(self.wakes, (now + max(PATIENCE * soft, usual), self._count(), rpc, tx))
+        heapq.heappush(self.wakes, (now + max(PATIENCE * soft, usual), next(self.draws), rpc, tx))
         host.send(rpc.id, s.id, rpc.until - now)
 
     def _open(self, to: Bucket | Method, s: Server) -> bool:  # placement; no kind or zone listed: fits none
@@ -759,7 +760,9 @@
 
     def _ready_from(self, b: Bucket) -> Iterator[Server]:
         start, n, bound = bisect_left(self.ring, b.point), len(self.ring), b.kinds or b.zones
-        for i in range(start, start + n):
+        # Danger: the whole ring gone through, for each bucket at each list, where none is left for a method.
+        some = any(s.state == State.READY and self._open(b, s) for s in self.caches)
+        for i in range(start, start + n * some):
             point = self.ring[i % n]
             s = self.caches[point & 0xFFFF]
             if s.state == State.READY and (self._open(b, s) if bound else point >> 16 & 0xFF < s.free * 256):
@@ -835,8 +838,4 @@
             bucket.at, bucket.chain = to, None
 
     def _chance(self) -> float:
-        return crc32(b"%d/%d" % (self.seed, self._count())) / 2**32
-
-    def _count(self) -> int:
-        self.draws += 1
-        return self.draws
+        return crc32(b"%d/%d" % (self.seed, next(self.draws))) / 2**32
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -45,6 +45,27 @@
     assert {to for _, to, _ in f.sends} <= {"s1", "s3", "s5", "o1"} and not f.open
 
 
+class Walked(list):
+    """A ring that counts how often it is looked at."""
+
+    looks = 0
+
+    def __getitem__(self, at: int) -> int:
+        self.looks += 1
+        return super().__getitem__(at)
+
+
+def test_a_list_without_a_server_for_a_method_costs_no_walk_round_the_ring() -> None:
+    f = fleet(12)
+    for i in range(60):
+        f.arrive(f"k{i}", "status")
+    ring = f.node.ring = Walked(f.node.ring)
+    for i in range(1, 12, 2):  # those of kind std drain, one after the other
+        f.listed([entry(f"s{i}", State.DRAINING, kind=1)], ListKind.DELTA)
+    assert not [b.home for b in f.node.buckets.values() if b.kinds and b.home]
+    assert ring.looks < 20 * len(f.node.buckets) * 6 < len(ring) * 60
+
+
 def test_a_heavy_key_is_spread_over_open_servers() -> None:
     taken = set[str]()
     for seed in range(12):
