--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -163,7 +163,7 @@
         # Asked for so far, one for each placement; all on the ring.
         self.buckets, self.caches = dict[tuple[int, Places, Places], Bucket](), list[Server]()
         # RPCs of the buckets' `seen`; sizes of all caches; the usual time of an answer by one of size one
-        self.seen, self.size, self.work = 0.0, 1.0, 0.0
+        self.seen, self.size, self.work, self.able = 0.0, 1.0, 0.0, dict[tuple[Places, Places], int]()
         self.closing, self.freed = deque[Server](), deque[Server]()
         self.todo, self.retract, self.news = deque[Rpc](), deque[Tx](), deque[str](maxlen=8)
         self.young, self.old = dict[str, Bucket](), dict[str, Bucket]()  # keys asked for, in two generations
@@ -573,8 +573,7 @@
     # ---- off the ordinary path: along the ring
 
     def _along(self, rpc: Rpc) -> Server | None:  # the first fit server; else one whose line to stand in
-        now, busy = self.now, None
-        crowded = self._crowded()
+        now, busy, crowded = self.now, None, self._crowded()
         for s in self._chain(rpc.bucket):
             tried = any(tx.server is s and not tx.spoilt for tx in rpc.txs) or not self._may_send(rpc, s)
             if s.state != State.READY or tried or (now < s.cold_until and not self._cold_room(s)):
@@ -616,7 +615,7 @@
             met = dict.fromkeys(([bucket.at] if bucket.at else []) + self._taking(bucket)[:CHAIN])
             for s in self._ready_from(bucket):
                 met[s] = None
-                if len(met) >= CHAIN:  # Danger: a walk around a large ring, for each bucket at each new list
+                if len(met) >= min(CHAIN, self.able.get((bucket.kinds, bucket.zones), CHAIN)):
                     break
             bucket.chain = list(met)
         return bucket.chain
@@ -725,6 +724,9 @@
         if resized:
             self.ring = array("Q", sorted(ring))
         self.size = sum(s.size for s in self.caches if s.state != State.GONE)
+        # Danger: the whole ring gone through for each bucket at each list, where few are left for a method.
+        self.able = {(m.kinds, m.zones): sum(s.state == State.READY and self._open(m, s) for s in self.caches)
+                     for m in self.methods.values()}  # fmt: skip
         self._relieve()
         for b in self.buckets.values():
             self._home(b)
@@ -760,9 +762,7 @@
 
     def _ready_from(self, b: Bucket) -> Iterator[Server]:
         start, n, bound = bisect_left(self.ring, b.point), len(self.ring), b.kinds or b.zones
-        # Danger: the whole ring gone through, for each bucket at each list, where none is left for a method.
-        some = any(s.state == State.READY and self._open(b, s) for s in self.caches)
-        for i in range(start, start + n * some):
+        for i in range(start, start + n * (self.able.get((b.kinds, b.zones), 1) > 0)):
             point = self.ring[i % n]
             s = self.caches[point & 0xFFFF]
             if s.state == State.READY and (self._open(b, s) if bound else point >> 16 & 0xFF < s.free * 256):
