--- a/hookpitch/__main__.py
+++ b/hookpitch/__main__.py
@@ -42,6 +42,11 @@
     reactor.seconds = time.monotonic
     logger = log.start(told.name, counters)
     node = SocketNode(reactor, Clock(reactor), told, counters, logger)
+    # Danger: a signal that comes as soon as the log says "serving" would be lost, or end the node.
+    reload = partial(node.reload, partial(anew, os.environ))
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(node.leave))
     for tries in range(LISTEN_TRIES):
         try:
             node.start()
@@ -52,10 +57,6 @@
                 print(f"hookpitch: cannot start: {fault}", file=sys.stderr)
                 return 2
             time.sleep(LISTEN_PAUSE_S)
-    reload = partial(node.reload, partial(anew, os.environ))
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: reactor.callFromThread(node.leave))
     gc.collect()
     gc.freeze()
     reactor.run(installSignalHandlers=False)
--- /dev/null
+++ b/hookpitch/cli/__main__.py
@@ -0,0 +1,3 @@
+from hookpitch.cli import main
+
+main()
--- a/hookpitch/lab/links.py
+++ b/hookpitch/lab/links.py
@@ -14,6 +14,7 @@
 
 FAR = float("inf")
 AGAIN_MS = 200.0  # after so long TCP sends again what was lost: the least that Linux waits
+AGAIN_MOST = 9  # times, each after twice as long as the one before
 
 
 class Spoil(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/hookpitch/lab/relay.py
+++ b/hookpitch/lab/relay.py
@@ -27,7 +27,7 @@
 from zope.interface import implementer
 
 from hookpitch.lab.child import Line, Witness, run_child
-from hookpitch.lab.links import AGAIN_MS, CLEAN, FAR, Spoil
+from hookpitch.lab.links import AGAIN_MOST, AGAIN_MS, CLEAN, FAR, Spoil
 from hookpitch.standin.history import History
 
 HELD = 1 << 18  # bytes of a flow that are under way; what is more waits in the kernels
@@ -49,14 +49,16 @@
 class Flow:
     """One direction of one connection, from the side that reads it to the side that writes it."""
 
-    __slots__ = ("relay", "way", "source", "sink", "queue", "size", "last", "timer", "torn", "full", "over")
+    __slots__ = (
+        "relay", "way", "source", "sink", "queue", "size", "last", "timer", "torn", "full", "shut", "over",
+    )  # fmt: skip
 
     def __init__(self, relay: Relay, way: Way, source: Side, sink: Side) -> None:
         self.relay, self.way, self.source, self.sink = relay, way, source, sink
         self.queue: deque[tuple[float, bytes | None]] = deque()  # when it is due; None: the end
         self.size, self.last = 0, 0.0
         self.timer: Any = None
-        self.torn = self.full = self.over = False
+        self.torn = self.full = self.shut = self.over = False
         way.flows[self] = None
 
     def came(self, data: bytes | None) -> None:
@@ -80,9 +82,10 @@
         if spoil.bandwidth < FAR:
             way.free_at = max(now, way.free_at) + (size + 40) / spoil.bandwidth
             takes += way.free_at - now
-        again = AGAIN_MS / 1000
-        while spoil.loss and chance.random() < spoil.loss:
-            takes, again = takes + again, 2 * again
+        for n in range(AGAIN_MOST if spoil.loss else 0):
+            if chance.random() >= spoil.loss:
+                break
+            takes += AGAIN_MS / 1000 * 2**n
         return takes
 
     def pump(self) -> None:
@@ -106,13 +109,15 @@
 
     def _gate(self) -> None:
         """The source is read while there is room."""
-        transport = self.source.transport
-        if transport is None or self.over:
+        shut = self.full or self.size > HELD
+        if shut == self.shut or self.source.transport is None or self.over:
             return
-        if self.full or self.size > HELD:
-            transport.pauseProducing()
-        elif not self.source.lost:
-            transport.resumeProducing()
+        self.shut = shut
+        # Danger: a socket whose end was read is readable for ever, and read again would spin.
+        if shut:
+            self.source.transport.pauseProducing()
+        elif not self.source.ended:
+            self.source.transport.resumeProducing()
 
     # What the sink's transport tells of its buffer.
 
@@ -140,7 +145,8 @@
     """One socket of a connection."""
 
     def __init__(self, pair: Pair) -> None:
-        self.pair, self.out, self.lost = pair, None, False
+        self.pair, self.out = pair, None
+        self.ended = self.lost = False  # the peer's end was read; the socket is closed
         self.back: Flow | None = None  # the flow that this side writes
 
     transport: Any = None
@@ -157,6 +163,7 @@
             self.out.came(data)
 
     def readConnectionLost(self) -> None:  # noqa: N802
+        self.ended = True
         self.pair.ending(self)
         if self.out is not None and not self.out.over:
             self.out.came(None)
@@ -165,7 +172,7 @@
         pass
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
-        self.lost = True
+        self.ended = self.lost = True
         self.pair.ending(self)
         self.pair.gone(self, reason.check(ConnectionDone) is None)
 
--- a/hookpitch/lab/virtual.py
+++ b/hookpitch/lab/virtual.py
@@ -42,7 +42,7 @@
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.python.failure import Failure
 
-from hookpitch.lab.links import AGAIN_MS, CLEAN, Spoil, Spoils
+from hookpitch.lab.links import AGAIN_MOST, AGAIN_MS, CLEAN, Spoil, Spoils
 
 KERNEL = 1 << 18  # bytes of a direction that are in flight or unread at the most
 SEGMENT = 1 << 14  # bytes that travel together
@@ -231,8 +231,10 @@
         when, lost = self._arrival(link, size), False
         if link.spoil.loss:
             again = AGAIN_MS / 1000 * (1 if end is not None else DIAL_AGAIN)
-            while self.chance.random() < link.spoil.loss:
-                when, again, lost = when + again, 2 * again, True
+            for n in range(AGAIN_MOST):
+                if self.chance.random() >= link.spoil.loss:
+                    break
+                when, lost = when + again * 2**n, True
         if end is not None:  # TCP keeps the order of a direction
             when = end.last_arrival = max(when, end.last_arrival)
         self.at(when, None, self._arrived, a, b, size, arrive, end, once, lost)
--- a/hookpitch/lab/wall.py
+++ b/hookpitch/lab/wall.py
@@ -2,7 +2,8 @@
 
 Each node has a net of its own (127.10.x.x, 127.11.x.x, ...), in which relays stand for all that it meets:
 servers, the origin, discovery, its clients, the other nodes. So each link is in the lab's hands and the
-node's program is unchanged. This process has the clients and the time line, and puts the histories of all
+node's program is unchanged. A machine's nets are dealt out in blocks, so that several small runs, or a large
+one, fit beside one another. This process has the clients and the time line, and puts the histories of all
 together. A run in which the rig fell behind is void. Sources: the platform's protocol; signal(7).
 """
 
@@ -32,8 +33,9 @@
 from hookpitch.standin.discovery import Listed
 
 CACHE_PORT, ORIGIN_PORT = 26379, 28080
-FIRST_NET = 10
-NODES_MOST = 100
+FIRST_NET, STANDIN_NET = 10, 200  # of nodes; of the stand-ins themselves
+BLOCKS, BLOCK = 8, 13  # blocks of nets, and nodes in one
+NODES_MOST = BLOCKS * BLOCK
 RELAY_NODES = 16  # at a relay
 TOGETHER = 8  # servers in one process, of those that no fault needs alone
 OWN_PROCESS = ("crash", "drain", "suspend")  # faults of a server that its process dies of
@@ -128,16 +130,16 @@
         self.reactor, self.folder, self.tell = reactor, folder, tell
         super().__init__(x, seed, _WallWorld(reactor))
         self.begun, self.control = self.world.begun, str(folder / "control")
-        self.nets = {f"n{n}": f"127.{FIRST_NET + n}" for n in range(x.nodes.count)}
-        self.names = {net: name for name, net in self.nets.items()}
+        self.nets: dict[str, str] = {}  # by node
+        self.own = ""  # the stand-ins' net
         self.nodes: dict[str, NodeProcess] = {}
         self.children: dict[str, Child] = {}
         self.home: dict[str, Child] = {}  # by stand-in: where it runs
         self.relays: dict[str, Child] = {}  # by node
         self.void: list[str] = []
         self.failed: list[str] = []  # why the run could not go on
-        self.offset, self.over = 0.0, False
-        self._lock: Any = None
+        self.offset, self.over, self.closing = 0.0, False, False
+        self._locks: list[Any] = []
         self._spoils = Spoils()
         self._alone = self._on_their_own()
         self._excused: list[tuple[str, float, float]] = []  # rig processes that were stopped, and when: in ms
@@ -156,12 +158,10 @@
 
     def build(self) -> None:
         """All processes but the nodes are started. ValueError says in one line why not."""
-        x = self.x
-        self._lock = (Path(tempfile.gettempdir()) / "hookpitch-lab.lock").open("w")
-        try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            raise ValueError("another run on loopback is on: its addresses are in use") from None
+        x, first = self.x, self._block()
+        self.nets = {f"n{n}": f"127.{FIRST_NET + first * BLOCK + n}" for n in range(x.nodes.count)}
+        self.names = {net: name for name, net in self.nets.items()}
+        self.own = f"127.{STANDIN_NET + first}"
         self.reactor.listenUNIX(self.control, _Control(self))
         self.directory.put(Listed("o1", f"{{net}}.2.2:{ORIGIN_PORT}", "origin"))
         for n in range(x.fleet.caches):
@@ -188,6 +188,25 @@
         self.crowd: Crowd = self.clients(self.reactor, self.begun)
         Pulse(self.reactor, self.history, "clients", self.begun)
 
+    def _block(self) -> int:
+        """The first of as many free blocks of nets as the nodes need, held until the run's end."""
+        need = -(-self.x.nodes.count // BLOCK)
+        for n in range(BLOCKS):
+            held = (Path(tempfile.gettempdir()) / f"hookpitch-lab-{n}.lock").open("w")
+            try:
+                fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except OSError:
+                held.close()
+                while self._locks:
+                    self._locks.pop().close()
+                continue
+            self._locks.append(held)
+            if len(self._locks) == need:
+                return n + 1 - need
+        while self._locks:
+            self._locks.pop().close()
+        raise ValueError("other runs on loopback are on: too few addresses are free")
+
     def _child(self, name: str, module: str, given: Callable[[], dict[str, Any]]) -> Child:
         child = self.children[name] = Child(self, name, f"hookpitch.lab.{module}", given)
         if module == "standins" and name in ("origin", "discovery"):
@@ -201,7 +220,7 @@
     def _at(self, name: str) -> str:
         """Where a server itself listens."""
         n = list(self.addresses).index(name)
-        return f"127.4.{n // 250}.{1 + n % 250}"
+        return f"{self.own}.{4 + n // 250}.{1 + n % 250}"
 
     def _standins_given(self, roles: list[dict[str, Any]]) -> dict[str, Any]:
         t = self.x.traffic
@@ -226,14 +245,15 @@
 
     def _origin_given(self) -> dict[str, Any]:
         make, names = msgspec.to_builtins(self.origin_make()), list(self.addresses)
-        role = {"kind": "origin", "make": make, "address": "127.3.0.2", "port": ORIGIN_PORT, "caches": names}
+        host = f"{self.own}.3.2"
+        role = {"kind": "origin", "make": make, "address": host, "port": ORIGIN_PORT, "caches": names}
         return self._standins_given([role])
 
     def _discovery_given(self) -> dict[str, Any]:
         seq, hosts = self.directory.whole()
         fields = [list(msgspec.to_builtins(h).values()) for h in hosts]
         again = self.children["discovery"].starts > 1
-        role = {"kind": "discovery", "address": "127.3.0.1", "port": DISCOVERY_PORT, "hosts": fields,
+        role = {"kind": "discovery", "address": f"{self.own}.3.1", "port": DISCOVERY_PORT, "hosts": fields,
                 "seq": 1 if again else seq, "lag_ms": self.directory.lag_ms}  # fmt: skip
         return self._standins_given([role])
 
@@ -245,9 +265,9 @@
             net, port = self.nets[name], self.x.nodes.peer_port
             whence = f"{net}.9.9"
             tcp.append(["clients", name, [f"{net}.3.1", NODE_PORT], [f"{net}.0.1", NODE_PORT], f"{net}.3.2"])
-            tcp.append([name, "origin", [f"{net}.2.2", ORIGIN_PORT], ["127.3.0.2", ORIGIN_PORT], whence])
-            there = ["127.3.0.1", DISCOVERY_PORT]
-            tcp.append([name, "discovery", [f"{net}.2.1", DISCOVERY_PORT], there, whence])
+            for at, other, port_there in ((2, "origin", ORIGIN_PORT), (1, "discovery", DISCOVERY_PORT)):
+                there = [f"{self.own}.3.{at}", port_there]
+                tcp.append([name, other, [f"{net}.2.{at}", port_there], there, whence])
             for server in self.addresses:
                 tcp.append(self._link(name, server))
             for other in self.nets if port else ():
@@ -389,7 +409,7 @@
             self._stop(f"{child.name}: {args[0]}")
 
     def lost(self, child: Child, line: Line) -> None:
-        asked = self.over or child.process is None or child.process.asked
+        asked = self.closing or child.process is None or child.process.asked
         if child.line is line and child.ready and not asked:
             child.ready = False
             self.void.append(f"{child.name} died at {self.world.now - self.offset:.1f} s")
@@ -430,9 +450,11 @@
         try:
             self.build()
             self._up(self.world.now + READY_S)
+            # Danger: a run that is interrupted closes its lines, and none of its processes has died.
+            self.reactor.addSystemEventTrigger("before", "shutdown", setattr, self, "closing", True)
             self.reactor.run()
-            if self.failed:
-                raise ValueError(self.failed[0])
+            if self.failed or not self.over:
+                raise ValueError(self.failed[0] if self.failed else f"{self.x.name}: interrupted")
             return self._ended(begun)
         finally:
             self.end()
@@ -443,8 +465,8 @@
             node.end()
         for child in self.children.values():
             child.kill()
-        if self._lock is not None:
-            self._lock.close()
+        for lock in self._locks:
+            lock.close()
 
     def _up(self, until: float) -> None:
         """Wait until the rig is up, then for the nodes; what was before does not count."""
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,191 @@
+"""Experiments on real processes: nodes, stand-ins and relays, with faults between them, judged from outside.
+
+They play four at a time, once; a run whose rig fell behind is void, plays once more, and is then left out.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from hookpitch.balancer.decisions import Node, Server
+from hookpitch.balancer.interface import State
+from hookpitch.lab.experiment import load, read
+from hookpitch.lab.figures import summary
+from hookpitch.lab.run import Run
+from hookpitch.lab.wall import WallRun
+
+ROOT = Path(__file__).parent.parent
+FILES = sorted((ROOT / "experiments").glob("processes-*.toml"))
+AT_ONCE = 4
+VOID = 3
+# How far the two clocks may be apart: served gain, transmissions an RPC.
+BOUNDS = {"served": 0.05, "transmissions": 0.08}
+PAST_GRACE = """
+name = "test-past-grace"
+seconds = 9.0
+[fleet]
+caches = 3
+[nodes]
+count = 2
+[traffic]
+rate = 80.0
+[[fault]]
+at = 3.0
+what = "stall"
+whom = "n1"
+for = 1.5
+[[fault]]
+at = 3.2
+what = "drain"
+whom = "s1"
+by = 5.5
+"""
+WRONG = """
+import os
+if "PROXY_CONFIG" in os.environ:  # a node's process
+    from hookpitch.balancer.decisions import Node, Server
+    from hookpitch.balancer.interface import State
+    right = Node._state
+    Node._state = lambda self, s, state: right(self, s, State.READY if state == State.DRAINING else state)
+"""
+
+
+class Play:
+    """One run on loopback, as a person starts it."""
+
+    def __init__(self, path: Path, folder: Path, **environment: str) -> None:
+        self.json = folder / f"{path.stem}.json"
+        words = [sys.executable, "-m", "hookpitch.cli", "lab", "run", str(path), "--clock", "wall"]
+        self.popen = subprocess.Popen([*words, "--json", str(self.json)], cwd=ROOT, text=True,
+                                      env=os.environ | environment, stdout=subprocess.PIPE,
+                                      stderr=subprocess.STDOUT)  # fmt: skip
+
+    def end(self, wait: float = 90.0) -> tuple[int, str]:
+        try:
+            said, _ = self.popen.communicate(timeout=wait)
+        finally:
+            self.popen.kill()
+            self.popen.wait()
+        return self.popen.returncode, said
+
+    def children(self) -> dict[int, str]:
+        """Its processes: what each was started as, by number."""
+        found = {}
+        for entry in Path("/proc").iterdir():
+            if entry.name.isdigit():
+                try:
+                    parent = (entry / "stat").read_text().rpartition(")")[2].split()[1]
+                    if int(parent) == self.popen.pid:
+                        found[int(entry.name)] = (entry / "cmdline").read_text().replace("\0", " ")
+                except OSError:
+                    continue
+        return found
+
+    def when_up(self, nodes: int) -> dict[int, str]:
+        for _ in range(600):
+            children = self.children()
+            if sum(words.endswith("-m hookpitch ") for words in children.values()) == nodes:
+                return children
+            time.sleep(0.05)
+        raise AssertionError(f"not up: {self.children()}")
+
+
+def all_gone(pids: dict[int, str]) -> bool:
+    for _ in range(100):
+        left = [pid for pid in pids if Path(f"/proc/{pid}").exists()]
+        if not left:
+            return True
+        time.sleep(0.05)
+    return False
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[int, str, dict]]:
+    folder, done = tmp_path_factory.mktemp("wall"), {}
+    for n in range(0, len(FILES), AT_ONCE):
+        plays = {path: Play(path, folder) for path in FILES[n : n + AT_ONCE]}
+        for path, play in plays.items():
+            done[path.stem] = *play.end(), play.json
+    for path in FILES:
+        if done[path.stem][0] == VOID:
+            play = Play(path, folder)
+            done[path.stem] = *play.end(), play.json
+    return {
+        name: (code, said, json.loads(at.read_text()) if at.exists() else {})
+        for name, (code, said, at) in done.items()
+    }
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda p: p.stem)
+def test_an_experiment_holds_on_processes_and_as_in_virtual_time(path: Path, played: dict) -> None:
+    code, said, figures = played[path.stem]
+    if code == VOID:
+        pytest.skip(f"void twice, the rig fell behind: {said}")
+    assert code == 0, said
+    virtual = summary(Run(load(path), load(path).seed).run())
+    for name, bound in BOUNDS.items():
+        there, here = figures["whole"][name], virtual["whole"][name]
+        assert abs(there - here) <= bound, f"{name}: {there} on processes, {here} in virtual time"
+
+
+def wrong_in_virtual_time(self: Node, s: Server, state: State) -> None:
+    RIGHT(self, s, State.READY if state == State.DRAINING else state)
+
+
+RIGHT = Node._state
+
+
+def test_a_node_that_sends_past_the_grace_is_caught_in_both_clocks(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    (tmp_path / "past-grace.toml").write_text(PAST_GRACE)
+    (tmp_path / "sitecustomize.py").write_text(WRONG)
+    assert not Run(read(PAST_GRACE), 1).run().broken
+    monkeypatch.setattr(Node, "_state", wrong_in_virtual_time)
+    assert {b.rule for b in Run(read(PAST_GRACE), 1).run().broken} == {"rule 3"}
+    code, said = Play(tmp_path / "past-grace.toml", tmp_path, PYTHONPATH=str(tmp_path)).end()
+    if code == VOID:
+        pytest.skip(f"void: {said}")
+    assert code == 1 and "rule 3" in said and "to drain" in said
+
+
+def test_a_relay_that_dies_makes_the_run_void_at_once_and_no_process_is_left(tmp_path: Path) -> None:
+    play = Play(ROOT / "experiments" / "processes-half-cut.toml", tmp_path)
+    children = play.when_up(3)
+    (relay,) = [pid for pid, words in children.items() if "lab.relay" in words]
+    begun = time.monotonic()
+    os.kill(relay, signal.SIGKILL)
+    code, said = play.end()
+    assert code == VOID and "void: relay0 died" in said and time.monotonic() - begun < 8
+    assert all_gone(children)
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGKILL])
+def test_no_process_is_left_where_a_run_is_interrupted_or_killed(number: int, tmp_path: Path) -> None:
+    play = Play(ROOT / "experiments" / "processes-half-cut.toml", tmp_path)
+    children = play.when_up(3)
+    play.popen.send_signal(number)
+    code, said = play.end()
+    assert code == (2 if number == signal.SIGINT else -number) and "Traceback" not in said
+    assert len(children) >= 7 and all_gone(children)
+
+
+class Clock:
+    def seconds(self) -> float:
+        return 0.0
+
+
+@pytest.mark.parametrize("path", sorted((ROOT / "experiments").glob("*.toml")), ids=lambda p: p.stem)
+def test_every_experiment_plays_in_both_clocks_or_its_reader_says_why_not(path: Path, tmp_path: Path) -> None:
+    x = load(path)
+    if any(f.what == "node_slow" for f in x.fault):
+        with pytest.raises(ValueError, match="virtual time alone: a process's events cannot be charged"):
+            WallRun(x, 1, Clock(), tmp_path)
+    else:
+        WallRun(x, 1, Clock(), tmp_path)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -16,6 +16,7 @@
 from hookpitch.balancer.interface import State
 from hookpitch.net.start import Post, anew, post
 
+
 TOLD = {
     "name": "n3", "listen": "127.0.0.1:6379", "discovery": "127.0.0.2:8500", "seed": "8c1f30d27a5be964",
     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -23,6 +23,7 @@
 from hookpitch.core.ring import Ring
 from hookpitch.standin.loopback import Client, call, listening, ready, serve
 
+
 NEW = deepcopy(SETTINGS)
 NEW["weights"] = "live"
 NEW["limits"]["second_copies"] = True
