--- a/hookpitch/cli/lab.py
+++ b/hookpitch/cli/lab.py
@@ -152,8 +152,9 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--keep", type=click.Path(path_type=Path), help="Write what is found there, as experiments.")
 @click.option("--only", help="Kinds of faults, with commas; `links` and `processes` are theirs.")
-def fuzz(runs: int, seed: int, keep: Path | None, only: str | None) -> None:
-    """Draw experiments, run them, and shrink those that break a rule."""
+@click.option("--clock", type=click.Choice(["virtual", "wall"]), default="virtual", show_default=True)
+def fuzz(runs: int, seed: int, keep: Path | None, only: str | None, clock: str) -> None:
+    """Draw experiments, run them, and shrink those that break a rule (on loopback they stay as they are)."""
     from hookpitch.lab import fuzz as fuzzing
     from hookpitch.lab.experiment import ON_LINKS, ON_PROCESSES
 
@@ -163,6 +164,10 @@
     for kind in kinds:
         if kind not in fuzzing.KINDS:
             _fail(ValueError(f"--only: '{kind}' is none of links, processes, {', '.join(fuzzing.KINDS)}"))
+    if clock == "wall":
+        broke, void = fuzzing.fuzz_on_processes(runs, seed, lambda text: click.echo(text), kinds, keep)
+        click.echo(f"{runs} runs on processes, {broke} found, {void} void")
+        sys.exit(1 if broke else 0)
     found = fuzzing.fuzz(runs, seed, lambda text: click.echo(text, err=True), kinds)
     for one in found:
         click.echo(f"seed {one.seed}: {', '.join(one.broken)}\n  {one.first}")
--- a/hookpitch/lab/fuzz.py
+++ b/hookpitch/lab/fuzz.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 import random
+import subprocess
+import sys
+import tempfile
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -34,6 +39,8 @@
 FAULTY = ON_LINKS + ON_PROCESSES
 ENDING = ("node_kill", "node_leave", "node_upgrade")
 SECONDS = 8.0
+AT_ONCE = 4  # runs on loopback
+VOID = 3  # the exit status of one whose rig fell behind
 
 
 def draw(seed: int, kinds: Sequence[str] = OLDER) -> Experiment:
@@ -167,6 +174,39 @@
     return found
 
 
+def fuzz_on_processes(
+    runs: int,
+    seed: int,
+    tell: Callable[[str], None],
+    kinds: Sequence[str] = KINDS,
+    keep: Path | None = None,
+) -> tuple[int, int]:
+    """The same drawn experiments on loopback, `AT_ONCE` at a time: how many broke a rule, and how many were
+    void. A file that broke one is kept."""
+    broke = void = 0
+    with tempfile.TemporaryDirectory(prefix="hookpitch-fuzz-") as folder:
+        for n in range(0, runs, AT_ONCE):
+            plays = []
+            for one in range(seed + n, seed + min(runs, n + AT_ONCE)):
+                path = Path(folder) / f"fuzz-{one}.toml"
+                path.write_text(text(draw(one, kinds)))
+                words = [sys.executable, "-m", "hookpitch.cli", "lab", "run", str(path), "--clock", "wall"]
+                popen = partial(subprocess.Popen, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+                plays.append((path, popen(words)))
+            for path, play in plays:
+                said, _ = play.communicate()
+                if play.returncode == VOID:
+                    void += 1
+                elif play.returncode:
+                    broke += 1
+                    tell(f"{path.stem}: {said.strip()}")
+                    if keep is not None:
+                        keep.mkdir(parents=True, exist_ok=True)
+                        (keep / path.name).write_text(path.read_text())
+            tell(f"{min(runs, n + AT_ONCE)} runs, {broke} found, {void} void")
+    return broke, void
+
+
 def attempt(x: Experiment) -> Ended:
     run = Run(x, x.seed)
     run.world.raising = False
