A process that parts from its clients by turns owes each its whole time

Cause: after SIGTERM beside a new process, idle connections are closed by turns over 400 ms, but the node ended its longest deadline and 150 ms after SIGTERM: with deadlines of 90 ms at 240 ms, with RPCs in work on connections whose turn had not come. Change: the end is counted from the last turn, 550 ms past the longest deadline at most, within the platform's 700.

--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -242,7 +242,8 @@
         serve_on = SERVE_ON_MS if self.post.inherited is None else 0.0
         until, deadlines = self.clock.now() + serve_on, self.clock.deadlines
         deadlines.add(until, lambda _: self._close())
-        deadlines.add(until + longest + REPLY_MS, lambda _: self._end())
+        # Danger: what parts by turns may still ask just before its turn, and is owed its whole time.
+        deadlines.add(until + self._parting() + longest + REPLY_MS, lambda _: self._end())
 
     def _close(self) -> None:
         if self.post.inherited is None:
@@ -253,7 +254,10 @@
                 self.port.doRead()
         if self.port is not None:
             self.port.stopListening()
-        self.clients.leave(self._end, 0.0 if self.post.inherited is None else PARTING_MS)
+        self.clients.leave(self._end, self._parting())
+
+    def _parting(self) -> float:
+        return 0.0 if self.post.inherited is None else PARTING_MS
 
     def _end(self) -> None:
         if self.shared is not None:
