--- a/hookpitch/lab/experiment.py
+++ b/hookpitch/lab/experiment.py
@@ -77,6 +77,7 @@
     "stall",
     "starved",
     "restart",
+    "reload",
 )
 ON_SERVERS = (*FAULTS[:11], "suspend", "pieces")
 ON_NODES = ("node_kill", "node_leave", "node_pause", "node_slow", "node_drain", "node_upgrade")
@@ -324,6 +325,8 @@
                 group = members(fault.whom, *_names(f), f.seed, 2 * n)
                 if fault.what in ON_PROCESSES:
                     bad(f"{place}.whom", "clients" not in group, "clients are no process of their own")
+                    fits = fault.what != "reload" or set(group) <= set(_names(f)[0])
+                    bad(f"{place}.whom", fits, "only nodes read their file anew")
                     bad(f"{place}.to", not fault.to, f"{fault.what} is no link's")
                 else:
                     there = members(fault.to, *_names(f), f.seed, 2 * n + 1)
--- a/hookpitch/lab/happenings.py
+++ b/hookpitch/lab/happenings.py
@@ -156,6 +156,12 @@
             self.run.nodes[name].start()
             self._later(BEFORE_S, self._front, name, True)
 
+    def reload(self, name: str) -> None:
+        """Its file is written anew and read: other settings, and back the next time; `by` from 1: torn, no
+        object, an empty one, no methods."""
+        if self.run.nodes[name].node is not None:
+            self.run.nodes[name].reload(int(self.fault.by))
+
     # ---- a cache server's
 
     def crash(self) -> None:
--- a/hookpitch/lab/nodes.py
+++ b/hookpitch/lab/nodes.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from hookpitch.core.counters import Counters
 from hookpitch.lab.virtual import Machine
 from hookpitch.net.clock import Clock
 from hookpitch.net.node import BACKLOG, SocketNode
-from hookpitch.net.start import read_post
+from hookpitch.net.start import anew, read_post
 
 if TYPE_CHECKING:
     from hookpitch.lab.run import Run
@@ -38,7 +40,7 @@
         self.run, self.name, self.address = run, name, address
         self.machine = run.world.machine(address, descriptors=run.x.nodes.sockets)
         self.machine.event_cost = run.x.nodes.event_us / 1e6
-        self.starts = 0
+        self.starts = self.reloads = 0
         self.node: SocketNode | None = None
         self.elder: SocketNode | None = None  # the process before it, while it still serves
         self.counters = Counters()
@@ -116,6 +118,13 @@
         """Those that serve now, the elder first."""
         return [one for one in (self.elder, self.node) if one is not None]
 
+    def reload(self, wrong: int) -> None:
+        """SIGHUP, with its file written anew."""
+        path = Path(self.run.folder.name) / f"{self.name}.json"
+        path.write_text(self.run.file(self, self.run.told(self, f"10.2.0.1:{DISCOVERY_PORT}"), wrong))
+        if self.node is not None:
+            self.node.reload(partial(anew, {"PROXY_CONFIG": str(path)}))
+
     def leave(self) -> None:
         """SIGTERM."""
         if self.node is not None:
