--- a/hookpitch/lab/fuzz.py
+++ b/hookpitch/lab/fuzz.py
@@ -130,7 +130,7 @@
     some = rng.choice([f"n{rng.randrange(nodes)}", "nodes", "0.5 of nodes"])
     other = rng.choice([f"s{rng.randrange(caches)}", "0.4 of servers", "origin", "discovery"])
     if what in ON_PROCESSES:
-        return rng.choice([some, other]), "", rng.choice([0.0, 1.0]), True
+        return some if what == "reload" else rng.choice([some, other]), "", rng.choice([0.0, 1.0]), True
     other = rng.choice([other, other, "clients"])
     whom, to = (some, other) if rng.random() < 0.5 else (other, some)
     return whom, to, 0.0, rng.random() < 0.6
