Nodes' figures are judged on processes, too

The judge left out what nodes count on loopback. It now holds the counters of each node that was not killed against what clients and servers saw, as in virtual time.

--- a/hookpitch/lab/wall.py
+++ b/hookpitch/lab/wall.py
@@ -543,7 +543,11 @@
             if ms > VOID_MS:
                 self.void.append(f"{name} was {ms:.0f} ms late, over {VOID_MS:g}")
         end = self.now() - offset
-        broken: list[Broken] = Judge(self.rules()).judge(self.history, end)
+        judge = Judge(self.rules())
+        broken: list[Broken] = judge.judge(self.history, end)
+        killed = {e.who for e in self.history.events if e.kind == "stop"}  # what they counted died with them
+        told = {name: counts for name, counts in self.counters.items() if name not in killed}
+        broken += judge.figures(self.history, told)
         real = time.perf_counter() - begun
         return self.ended(broken, len(self.history.events), real, void=self.void, rig=late)
 
