Virtual time in three files: world, reactor, ends; bounds on processes wider by both ways

On processes a bound is wider by twice the rig's worst lateness, as an RPC meets its relay there and back.

--- a/hookpitch/cli/lab.py
+++ b/hookpitch/cli/lab.py
@@ -119,7 +119,7 @@
         click.echo(f"  raised: {text}")
     if figures["rig"]:
         who, ms = max(figures["rig"].items(), key=lambda item: item[1])
-        click.echo(f"  the rig was {ms:.0f} ms late at the worst ({who}); bounds are wider by that")
+        click.echo(f"  the rig was {ms:.0f} ms late at the worst ({who}); bounds are wider by twice that")
     for text in figures["broken"][:5]:
         click.echo(f"  broken: {text}")
     if len(figures["broken"]) > 5:
--- a/hookpitch/lab/nodes.py
+++ b/hookpitch/lab/nodes.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from hookpitch.core.counters import Counters
-from hookpitch.lab.virtual import Machine
+from hookpitch.lab.world import Machine
 from hookpitch.net.clock import Clock
 from hookpitch.net.node import BACKLOG, SocketNode
 from hookpitch.net.start import anew, read_post
--- a/hookpitch/lab/run.py
+++ b/hookpitch/lab/run.py
@@ -23,7 +23,8 @@
 from hookpitch.lab.judge import SLACK_MS, UNUSED_MS, Broken, Judge, Rules
 from hookpitch.lab.links import Spoil
 from hookpitch.lab.nodes import DISCOVERY_PORT, NODE_PORT, Node
-from hookpitch.lab.virtual import End, World
+from hookpitch.lab.ends import End
+from hookpitch.lab.world import World
 from hookpitch.standin.cache import Make
 from hookpitch.standin.cache_server import CacheServer
 from hookpitch.standin.crowd import Crowd, Keys, Kind, Manner, Rudes
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -13,7 +13,8 @@
 from hookpitch.lab.figures import summary
 from hookpitch.lab.judge import Judge, Rules
 from hookpitch.lab.run import Run
-from hookpitch.lab.virtual import KERNEL, World
+from hookpitch.lab.ends import KERNEL
+from hookpitch.lab.world import World
 from hookpitch.net.clients import Clients
 from hookpitch.net.handover import Handover
 from hookpitch.standin.history import History
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,7 +7,8 @@
 from hookpitch.lab.experiment import read
 from hookpitch.lab.groups import directions, members
 from hookpitch.lab.links import Spoil, together
-from hookpitch.lab.virtual import DATAGRAMS, World
+from hookpitch.lab.reactor import DATAGRAMS
+from hookpitch.lab.world import World
 
 A, B = "1.1.1.1", "2.2.2.2"
 
