--- a/hookpitch/cli/lab.py
+++ b/hookpitch/cli/lab.py
@@ -85,6 +85,8 @@
             try:
                 progress = _progress if sys.stderr.isatty() else None
                 ended = run_on_loopback(x, x.seed if seed is None else seed, logs, progress)
+                if progress is not None:
+                    click.echo(err=True)
             except ValueError as fault:
                 _fail(fault)
         figures = summary(ended)
--- a/hookpitch/lab/experiment.py
+++ b/hookpitch/lab/experiment.py
@@ -30,6 +30,10 @@
     "worst_cold",
     "dials",
     "rude_told",
+    "list_calls",
+    "dials_at_one",
+    "listed_s",
+    "steady_s",
 )
 FAULTS = (
     "crash",
@@ -120,6 +124,12 @@
     work_ms: float = 15.0
 
 
+class Discovery(Strict):
+    """`calls_per_s`: calls for lists that it takes; what is more has 503. 0: no bound."""
+
+    calls_per_s: float = 0.0
+
+
 class Nodes(Strict):
     """`event_us`: CPU that each event of a node takes, in microseconds of its core. `peer_port`: where nodes
     may talk to one another, TCP and UDP; 0: no links between them."""
@@ -209,6 +219,7 @@
     seed: int = 1
     fleet: Fleet = Fleet()
     origin: Origin = Origin()
+    discovery: Discovery = Discovery()
     nodes: Nodes = Nodes()
     net: Net = Net()
     method: tuple[Method, ...] = (Method(name="read"),)
--- a/hookpitch/lab/figures.py
+++ b/hookpitch/lab/figures.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -80,9 +81,53 @@
         return sum(ms <= 3000.0 for ms in ended.rude_kept_ms) / max(1, len(ended.rude_kept_ms))
     if name == "dials":
         return float(sum(c.get("dials", 0) for c in ended.counters.values()))
+    if name == "list_calls":
+        return most_a_second(e.at for e in events if e.kind == "called")
+    if name == "dials_at_one":
+        servers = dict.fromkeys(e.who for e in events if e.kind == "dialled")
+        dials = (most_a_second(e.at for e in events if (e.kind, e.who) == ("dialled", s)) for s in servers)
+        return max(dials, default=0.0)
+    if name == "listed_s":
+        return listed_s(ended.history.events)
+    if name == "steady_s":
+        return steady_s(rpcs, since_s, until_s)
     raise ValueError(name)
 
 
+def most_a_second(times: Iterable[float]) -> float:
+    """The most that fell into one second, of times in ms."""
+    return float(max(Counter(int(at // 1000) for at in times).values(), default=0))
+
+
+def listed_s(events: Iterable[Event]) -> float:
+    """Seconds from its start to its first list, of the node for which that took longest; a node that was
+    killed before, or never told, counts to the end."""
+    started: dict[str, float] = {}
+    worst = end = 0.0
+    for e in events:
+        end = e.at
+        if e.kind == "start":
+            started[e.who] = e.at
+        elif e.kind == "stop":
+            started.pop(e.who, None)
+        elif e.kind == "told" and e.who in started:
+            worst = max(worst, e.at - started.pop(e.who))
+    return max([worst, *(end - at for at in started.values())]) / 1000
+
+
+def steady_s(rpcs: Sequence[Seen], since_s: float, until_s: float) -> float:
+    """Seconds until the served gain of each second stays at 95% of what it is in the last five."""
+
+    def served(first: float, last: float) -> float:
+        some = [s for s in rpcs if first * 1000 <= s.at < last * 1000 and s.answer != "left"]
+        good = sum(s.gain for s in some if s.answer == "completed" and s.took <= s.soft)
+        return good / max(1e-9, sum(s.gain for s in some)) if some else 1.0
+
+    aim = 0.95 * served(until_s - 5, until_s)
+    below = [n for n in range(int(since_s), int(until_s) - 5) if served(n, n + 1) < aim]
+    return float(below[-1] + 1 - since_s) if below else 0.0
+
+
 def expected(ended: Ended) -> list[tuple[Expectation, float, bool]]:
     """Each expectation with its figure, and whether it holds."""
     rpcs, found = seen(ended.experiment, ended.history.events), []
@@ -117,6 +162,7 @@
                 },
             }
         )
+    whole |= {n: round(figure(n, ended, rpcs, 0.0, x.seconds), 4) for n in FIGURES[-4:]}
     sent: dict[str, int] = {}
     for e in ended.history.events:
         if e.kind == "came":
--- a/hookpitch/lab/run.py
+++ b/hookpitch/lab/run.py
@@ -326,6 +326,7 @@
         self.origin_server.size_of = self.size_of
         there = world.machine("10.2.0.1").reactor
         self.discovery = DiscoveryServer(self.directory, there, self.history, self._whose, 0.0)
+        self.discovery.calls_per_s = x.discovery.calls_per_s
         self._listen()
         for n in range(x.fleet.caches):
             self.add_server(f"s{n}", cold=False)
--- a/hookpitch/lab/standins.py
+++ b/hookpitch/lab/standins.py
@@ -92,6 +92,7 @@
             directory.put(Listed(*fields))
         directory.seq = max(directory.seq, role["seq"])
         server = DiscoveryServer(directory, self.reactor, self.history, self._whose, self.begun)
+        server.calls_per_s = role["calls_per_s"]
         server.nets = {name: net for net, name in self.nets.items()}
         self.there["discovery"] = server
         self.reactor.listenTCP(role["port"], server, interface=role["address"], backlog=4096)
--- a/hookpitch/lab/wall.py
+++ b/hookpitch/lab/wall.py
@@ -254,7 +254,8 @@
         fields = [list(msgspec.to_builtins(h).values()) for h in hosts]
         again = self.children["discovery"].starts > 1
         role = {"kind": "discovery", "address": f"{self.own}.3.1", "port": DISCOVERY_PORT, "hosts": fields,
-                "seq": 1 if again else seq, "lag_ms": self.directory.lag_ms}  # fmt: skip
+                "seq": 1 if again else seq, "lag_ms": self.directory.lag_ms,
+                "calls_per_s": self.x.discovery.calls_per_s}  # fmt: skip
         return self._standins_given([role])
 
     def _relay_given(self, some: list[str]) -> dict[str, Any]:
--- a/hookpitch/standin/cache_server.py
+++ b/hookpitch/standin/cache_server.py
@@ -45,6 +45,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         server = self.server
+        server.history.add(server.now(), "dialled", server.name, what=server.whose(self.transport))
         if server.process is None or not server.process.connected(server.now()):
             self.transport.abortConnection()
             return
--- a/hookpitch/standin/web.py
+++ b/hookpitch/standin/web.py
@@ -191,8 +191,10 @@
         self.node = self.server.whose(self.transport)
         if url.path != "/v1/servers":
             return self.answer(404, b"")
-        if not self.server.up:
+        if not self.server.up or not self.server.takes():
+            self.server.called(self.node, "refused")
             return self.answer(503, b"")
+        self.server.called(self.node, "served")
         if words.get("follow") != ["1"]:
             seq, hosts = self.server.directory.whole()
             return self.answer(200, line(seq, True, hosts, self.server.nets.get(self.node, "")))
@@ -214,7 +216,7 @@
 
 class DiscoveryServer(Factory):
     """Discovery. `up` False: it ends watches and answers 503; `lag_ms` of its directory: how late it
-    tells."""
+    tells; `calls_per_s`: what it takes, with as many at once after a rest (0: no bound)."""
 
     noisy = False
 
@@ -230,8 +232,24 @@
         self.begun, self.up = begun, True
         self.nets: dict[str, str] = {}  # by node: what its servers' addresses begin with
         self.watchers: dict[DiscoveryConnection, None] = {}
+        self.calls_per_s, self._room, self._refilled = 0.0, 0.0, 0.0
         reactor.callLater(BEAT_S, self.beat)
 
+    def takes(self) -> bool:
+        """Whether there is room for one more call."""
+        if not self.calls_per_s:
+            return True
+        now = self.now()
+        grown = self._room + (now - self._refilled) * self.calls_per_s / 1000
+        self._room, self._refilled = min(max(1.0, self.calls_per_s), grown), now
+        if self._room < 1:
+            return False
+        self._room -= 1
+        return True
+
+    def called(self, node: str, how: str) -> None:
+        self.history.add(self.now(), "called", node, what=how)
+
     def begin(self) -> None:
         """A new process, which counts versions from one."""
         self.watchers.clear()
@@ -268,8 +286,8 @@
         watcher.seq = seq
         for listed in hosts:
             self.history.add(self.now(), "told", watcher.node, what=f"{listed.host} {listed.health}")
-        if whole:
-            self.history.add(self.now(), "told", watcher.node, what="whole")
+        if whole or not hosts:
+            self.history.add(self.now(), "told", watcher.node, what="whole" if whole else "nothing")
         watcher.say(line(seq, whole, hosts, self.nets.get(watcher.node, "")))
 
     def beat(self) -> None:
