--- /dev/null
+++ b/tests/test_starting.py
@@ -0,0 +1,45 @@
+"""Many nodes that start at once: experiments hold in virtual time, and what a start costs is counted."""
+
+from pathlib import Path
+
+import pytest
+
+from hookpitch.lab.experiment import load, read
+from hookpitch.lab.figures import Seen, expected, figure
+from hookpitch.lab.run import Ended, Run
+from hookpitch.standin.history import History
+
+FILES = sorted((Path(__file__).parent.parent / "experiments").glob("start-*.toml"))
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda p: p.stem)
+def test_a_starts_rules_and_expectations_hold(path: Path) -> None:
+    ended = Run(load(path), load(path).seed).run()
+    assert not ended.broken, str(ended.broken[0])
+    assert not ended.faults
+    assert not [(e.text, value) for e, value, holds in expected(ended) if not holds]
+
+
+def test_what_a_start_costs_is_counted_by_second_and_by_node() -> None:
+    history = History()
+    for at in (1000.0, 1300.0, 1999.0, 2000.0):
+        history.add(at, "called", "n0", what="served")
+        history.add(at, "dialled", "s0" if at < 1999 else "s1", what="n0")
+    for name, at in (("n0", 1000.0), ("n1", 1100.0), ("n2", 1200.0)):
+        history.add(at, "start", name)
+    history.add(1500.0, "told", "n0", what="whole")
+    history.add(1600.0, "stop", "n1")  # of one that was killed before, nothing is asked
+    history.add(4700.0, "told", "n2", what="nothing")
+    ended = Ended(read("name = 'a-b'\nseconds = 20.0"), 1, history, [], [], {}, [], 0, 0.0)
+    assert figure("list_calls", ended, [], 0, 20) == 3 and figure("dials_at_one", ended, [], 0, 20) == 2
+    assert figure("listed_s", ended, [], 0, 20) == 3.5
+    rpcs = [Seen(f"q{n}", "read", "n0", 100.0 * n, 300.0, 1.0, "completed" if n > 62 else "exhausted", 5.0)
+            for n in range(200)]  # fmt: skip
+    assert figure("steady_s", ended, rpcs, 0, 20) == 7.0
+
+
+def test_discovery_takes_what_it_is_made_for_and_refuses_the_rest() -> None:
+    text = "name = 'a-b'\nseconds = 4.0\n[nodes]\ncount = 30\n[discovery]\ncalls_per_s = 2.0"
+    ended = Run(read(text), 1).run()
+    how = [e.what for e in ended.history.events if e.kind == "called"]
+    assert not ended.broken and how.count("refused") > 5 and how.count("served") <= 2 + 2 * 6
