--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -170,18 +170,16 @@
         self.wakes: list[tuple[float, int, Rpc, Tx | None]] = []
         self.armed, self.aged_at, self.points_per_size, self.beat_at, self.warm_rate = FAR, now, 0.0, now, 0.0
         self.asked, self.turned, self.pressure, self.shed = 1, 0, 0.0, 0.0  # shed: turned away at the door
-        self.burden, self.lag, self.away_at, self.ask_backoff = 0.0, 0.0, -FAR, 0.0  # the node's own
+        self.burden, self.lag, self.away_at = 0.0, 0.0, -FAR  # the node's own
         self.flow, self.typical = dict[str, float](), 0.0  # work lately asked for; its unit in ms
         self.trials = TRIALS  # second opinions on an error that the node may ask for
         self.reconfigured(now, d)
-        # Danger: hundreds of nodes that start together ask discovery at once; it turns nearly all away.
-        self.ask_at = now + self.ask_within / 2 * (1 - 1 / self.nodes) * self._chance() if d.must_ask else FAR
         self.next_beat, self.next_round = now + self.window, now + ROUND_MS * (1 + self._chance())
 
     def reconfigured(self, now: float, d: Deployment) -> None:
         """New settings. RPCs in flight keep their method; what is known of servers and shares stays."""
         self.now, self.methods, self.nodes = now, {m.name: m for m in d.methods}, max(1, d.nodes)
-        self.ask_within, self.max_txs = d.ask_within_ms or 10000.0, d.max_transmissions
+        self.max_txs = d.max_transmissions
         self.cancelling, self.copies, self.customers = d.cancelling, d.second_copies, d.customers
         self.shared_by(now, 1 / self.part)
         for rpc in self.rpcs.values() if not d.second_copies else ():  # where they were allowed until now
@@ -207,12 +205,6 @@
 
     def servers_listed(self, now: float, kind: ListKind, entries: list[Entry]) -> None:
         self.now = now
-        if kind == ListKind.FAILED:  # Danger: a lost watch never renewed leaves sends to servers long gone.
-            self.ask_backoff = min(self.ask_within / 4, max(self.ask_within / 20, 2 * self.ask_backoff))
-            self.ask_at = now + self.ask_backoff * (0.5 + self._chance())
-            return self.news.append("discovery lost, asking again")
-        if kind != ListKind.CACHED and self.ask_at < FAR:
-            self.ask_backoff, self.ask_at = 0.0, FAR
         listed, changed, resized = {e.id for e in entries}, False, list[Server]()
         for e in entries:
             s = self.servers.get(e.id) or self.servers.setdefault(e.id, Server(e.id))
@@ -423,14 +415,10 @@
                 self._send(rpc, s, host)
                 return True
             self.freed.popleft()
-        if self.ask_at <= now:
-            self.ask_at = now + self.ask_within / 2  # no answer by then: ask again
-            host.watch()
-            return True
         if self.news:
             host.log(self.news.popleft())
             return True
-        due = min(self.wakes[0][0] if self.wakes else FAR, self.ask_at, self.next_beat, self.next_round)
+        due = min(self.wakes[0][0] if self.wakes else FAR, self.next_beat, self.next_round)
         due = max(due, now + self.tick / 2)
         # Danger: a wake late, or rounded to just before its time, must cost no RPC its answer.
         if due < self.armed - self.tick / 4 or self.armed <= now + self.tick / 4:
--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -45,12 +45,6 @@
     def answer_stands(self, tx: Tx) -> bool: ...  # whether its answer has come and is only unread
 
 
-class Watcher(Protocol):
-    """Discovery."""
-
-    def watch(self, now: float) -> None: ...
-
-
 class Logger(Protocol):
     def info(self, event: str) -> None: ...
 
@@ -117,7 +111,6 @@
         self.patience = max((m.hard_ms for m in deployment.methods), default=1000.0)  # with a silent stream
         self.connections: Slots[object] = Slots()
         self.carrier: Carrier
-        self.watcher: Watcher
         self._unsent: deque[Tx] = deque()
         self._wake: Deadline | None = None
         self._deciding = False
@@ -280,8 +273,9 @@
     def listed(self, now: float, kind: ListKind, entries: list[Entry], dials: Mapping[str, str]) -> None:
         """A list of servers, or that none could be had."""
         self.counters.add(f"lists.{kind.name.lower()}")
-        if kind != ListKind.FAILED:
-            self.carrier.listed(kind, entries, dials)
+        if kind == ListKind.FAILED:  # what was told before stands
+            return
+        self.carrier.listed(kind, entries, dials)
         self.node.servers_listed(now, kind, entries)
         self.decide(now)
 
@@ -366,10 +360,6 @@
     def close(self, server_id: str) -> None:
         self.carrier.close_idle(server_id)
 
-    def watch(self) -> None:
-        self.counters.add("lists.asked")
-        self.watcher.watch(self.now)
-
     def wake(self, at_ms: float) -> None:
         self.deadlines.drop(self._wake)
         self._wake = self.deadlines.add(at_ms, self._woken)
--- a/hookpitch/net/discovery.py
+++ b/hookpitch/net/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 import h11
@@ -11,14 +11,17 @@
 from twisted.python.failure import Failure
 
 from hookpitch.balancer.interface import Entry, ListKind, State
+from hookpitch.core.chance import draws
 from hookpitch.core.deadlines import Deadline
 from hookpitch.core.host import Host
 from hookpitch.core.ring import Ring
 from hookpitch.net.clock import Clock
 from hookpitch.net.wire import Wire
+from hookpitch.startup.asking import FAR, Asking, Loss
 
 BEAT_MS = 2000.0  # an empty line comes this often
 BEATS_MISSED = 2.2  # and a watch silent for more of them than this is lost
+ASK_WITHIN_MS = 10000.0  # a node asks so often, where nothing is told
 DIALS = 4  # times the time-out of a dial to a server, for one to discovery
 LINE_MOST = 1 << 24  # bytes
 OLDER_MOST = 3  # lists older than the one held, before such a one is taken
@@ -51,6 +54,13 @@
         raise ValueError(f"a bad list of servers: {fault!r}") from None
 
 
+def retry_after(headers: Iterable[tuple[bytes, bytes]]) -> float:
+    """The seconds that an HTTP answer asks for before the next call, in ms; 0 where it names none."""
+    words = (value for name, value in headers if name.lower() == b"retry-after")
+    value = next(words, b"")
+    return min(3600.0, float(value)) * 1000 if value.isdigit() and len(value) < 10 else 0.0
+
+
 class Watch(Wire):
     """One call: what discovery writes is told until the connection ends."""
 
@@ -80,7 +90,7 @@
                 event = self.http.next_event()
                 if isinstance(event, h11.Response):
                     if event.status_code != 200:
-                        return self.end()
+                        return self.end(Loss.REFUSED, retry_after(event.headers))
                 elif isinstance(event, h11.Data):
                     self.lines.write(bytes(event.data))
                     self._lines()
@@ -96,7 +106,7 @@
         """How long it may be silent from now on."""
         clock = self.discovery.clock
         clock.deadlines.drop(self.silence)
-        self.silence = clock.deadlines.add(clock.now() + ms, lambda _: self.end())
+        self.silence = clock.deadlines.add(clock.now() + ms, lambda _: self.end(Loss.SILENT))
 
     def _lines(self) -> None:
         discovery = self.discovery
@@ -108,8 +118,8 @@
         if len(self.lines) > LINE_MOST:
             raise ValueError("line too long")
 
-    def end(self, quiet: bool = False) -> None:
-        """The watch is lost, or (quiet) given up for a new one."""
+    def end(self, how: Loss | None = Loss.ENDED, after_ms: float = 0.0) -> None:
+        """The watch is lost, or (None) given up for a new one. `after_ms`: not to be asked for sooner."""
         if self.over:
             return
         self.over = True
@@ -118,8 +128,8 @@
             self.transport.abortConnection()
         elif self.connector is not None:
             self.connector.disconnect()  # it still dials
-        if not quiet:
-            self.discovery.lost(self)
+        if how is not None:
+            self.discovery.lost(self, how, after_ms)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         self.end()
@@ -143,12 +153,27 @@
                  seq: int) -> None:  # fmt: skip
         self.reactor, self.clock, self.host, self.address, self.seq = reactor, clock, host, address, seq
         self.current: Watch | None = None
+        d = host.deployment
+        self.asking = Asking(clock.now(), d.nodes, d.ask_within_ms or ASK_WITHIN_MS, draws(d.seed, "ask"))
+        self.due: Deadline | None = None
         self.first: Callable[[], None] | None = None  # called once a list has come
         self.older = 0  # lists in a row that were older than the one held
 
+    def begin(self) -> None:
+        """From now on it asks when its time has come."""
+        self.clock.deadlines.drop(self.due)
+        self.due = self.clock.deadlines.add(self.asking.at, self.watch) if self.asking.at < FAR else None
+
+    def reconfigured(self) -> None:
+        d = self.host.deployment
+        self.asking.retimed(d.nodes, d.ask_within_ms or ASK_WITHIN_MS)
+
     def watch(self, now: float) -> None:
+        self.host.counters.add("lists.asked")
+        self.asking.asked(now)
+        self.begin()
         if self.current is not None:
-            self.current.end(quiet=True)
+            self.current.end(None)
         watch = self.current = Watch(self)
         watch.connector = self.reactor.connectTCP(*self.address, _Dial(watch), timeout=None)
         watch.wait(DIALS * self.host.deployment.dial_timeout_ms)
@@ -176,12 +201,18 @@
                 self.host.listed(self.clock.now(), ListKind.DELTA, away, dials)
             raise ValueError(f"version {seq} is older than {self.seq}")
         self.seq, self.older = seq, 0
+        self.asking.told()
+        self.begin()
         kind = ListKind.FULL if whole else ListKind.DELTA
         self.host.listed(self.clock.now(), kind, entries, dials)
         if self.first is not None:
             self.first()
 
-    def lost(self, watch: Watch) -> None:
+    def lost(self, watch: Watch, how: Loss, after_ms: float) -> None:
         if watch is self.current:
-            self.current = None
-            self.host.listed(self.clock.now(), ListKind.FAILED, [], {})
+            self.current, now = None, self.clock.now()
+            if not self.asking.failures:
+                self.host.log("discovery lost, asking again")
+            self.host.listed(now, ListKind.FAILED, [], {})
+            self.asking.lost(now, how, after_ms)
+            self.begin()
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -49,7 +49,7 @@
         self.host.held.most = post.memory_mb << 18  # a quarter of the memory
         self.pulse = Pulse(clock, self.host, cpu)
         self.discovery = Discovery(reactor, clock, self.host, post.discovery, post.seq)
-        self.host.carrier, self.host.watcher = self.pools, self.discovery
+        self.host.carrier = self.pools
         self.leaving = self.paused = self.up = False
         self.pauses = 0  # so far; a drain's later steps are its own
         self.port: Any = None
@@ -72,6 +72,7 @@
         if self.post.management is not None and self.post.shared:
             self._share()
         if self.post.inherited is None:
+            self.discovery.begin()
             self._serve()
             return
         # Danger: the list that is known may be old, and clients come at once. But a discovery that is down
@@ -226,6 +227,7 @@
             # The seed stays: with another, each node's draws and with them its keys' caches would move.
             self.host.reconfigured(self.clock.now(), replace(d, seed=before.seed))
             self.pools.reconfigured()
+            self.discovery.reconfigured()
             self.host.counters.add("config_changes")
         address = f"{told.discovery[0]}:{told.discovery[1]}"
         self.logger.info("reloaded", discovery=address, changed=",".join(changed) or "nothing")
--- a/hookpitch/simwire/adapter.py
+++ b/hookpitch/simwire/adapter.py
@@ -12,7 +12,9 @@
 from hookpitch.balancer.decisions import Node
 from hookpitch.balancer.deployment import deployment, report
 from hookpitch.balancer.interface import Entry, ListKind
+from hookpitch.core.chance import draws
 from hookpitch.simwire import codec
+from hookpitch.startup.asking import FAR, Asking, Loss
 from hookpitch.simwire.codec import WireError, flag, ms, outcome, seconds
 
 HINT = 1  # the bit of a REQUEST's options that says that its cost is told
@@ -27,6 +29,8 @@
         self.node: Node | None = None
         self.kinds: tuple[str, ...] = ()
         self.fault = ""
+        self.asking: Asking | None = None  # where discovery has to be asked
+        self.armed = FAR
 
     def send(self, rpc_id: str, server_id: str, limit_ms: float) -> None:
         self.out.append(f"RELAY {self.name} {rpc_id} {server_id} {limit_ms / 1000:.6f}")
@@ -44,8 +48,23 @@
     def close(self, server_id: str) -> None:
         self.out.append(f"SHUT_IDLE {self.name} {server_id}")
 
-    def watch(self) -> None:
-        self.out.append(f"SUBSCRIBE {self.name} 1")
+    def ask(self, now: float) -> None:
+        """Ask discovery if the time has come, or have it told when it has."""
+        asking = self.asking
+        if asking is None:
+            return
+        if asking.at <= now:
+            asking.asked(now)
+            self.out.append(f"SUBSCRIBE {self.name} 1")
+        if asking.at < FAR and asking.at != self.armed:
+            self.armed = asking.at
+            self.wake(asking.at)
+
+    def listed(self, now: float, kind: ListKind) -> None:
+        if self.asking is not None and kind == ListKind.FAILED:
+            self.asking.lost(now, Loss.ENDED)
+        elif self.asking is not None and kind != ListKind.CACHED:
+            self.asking.told()
 
     def wake(self, at_ms: float) -> None:
         self.out.append(f"TIMER {self.name} {seconds(at_ms + 0.0005)} 0")
@@ -89,6 +108,7 @@
             if node is not None:
                 while node.decide(self.now, seat):
                     pass
+                seat.ask(self.now)
         self.out.append("ACK\n")
         self.sink.write("\n".join(self.out))
         self.sink.flush()
@@ -105,6 +125,9 @@
                 seat.fault = str(fault)
                 raise
             seat.kinds, seat.node = told.kinds, Node(now, told)
+            if told.must_ask:
+                within = told.ask_within_ms or 10000.0
+                seat.asking = Asking(now, told.nodes, within, draws(told.seed, "ask"))
             return
         name = rest.partition(" ")[0]
         if word == "PEERS_KNOWN":
@@ -133,7 +156,10 @@
             if faults:
                 raise WireError(faults)
             touched[name] = seat
-            node.servers_listed(now, ListKind(int(_values(rest, 4)[1])), entries)
+            kind = ListKind(int(_values(rest, 4)[1]))
+            seat.listed(now, kind)
+            if kind != ListKind.FAILED:
+                node.servers_listed(now, kind, entries)
         elif word == "CLIENT_GONE":
             touched[name] = seat
             node.client_left(now, _values(rest, 2)[1])
--- /dev/null
+++ b/hookpitch/startup/asking.py
@@ -0,0 +1,82 @@
+"""When a node asks discovery for the list: its own draws, over spans that grow with the fleet and refusals.
+
+What is harmless in one node is harmful in all: nodes that lose their watches together, or start together,
+must not ask together. They cannot talk, so each draws a time over a span wide enough for all of them. The
+span follows from two things that a node knows: how many nodes there are (told), and how often in a row
+discovery has failed it (seen). A list of before serves meanwhile.
+
+Bounds, for N nodes and W = the time within which a node has to ask (told), with S = min(W/2, N x EACH):
+
+- first calls are spread over W/2 x (1 - 1/N): N / (W/2) a second in the mean;
+- a call after a failed one comes half to one and a half times max(W/20, S) later, twice that after each
+  further failure, and never later than 1.5 times max(W/4, 2 S) <= 1.5 W: rules that count from the last
+  call give 4 W after a failed one;
+- a watch that was lost after it had served is asked for anew over S, one that fell silent over SILENT at the
+  most: rules that count from silence leave little time;
+- a call that is not answered within W/2 has failed.
+
+A refusal that says when to come back is heeded, up to W. Source of the rules: the platform's protocol pages.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import IntEnum
+
+EACH_MS = 50.0  # of a span, for each node: twenty calls a second over the fleet
+SILENT_MS = 1500.0  # the widest span after a watch that fell silent
+FAR = float("inf")
+
+
+class Loss(IntEnum):
+    """How a watch, or the call for one, came to its end."""
+
+    REFUSED = 0  # the call failed: turned away, reset, unreachable, not answered in time
+    ENDED = 1  # it had served, and its connection ended
+    SILENT = 2  # it had served, and said nothing for too long
+
+
+class Asking:
+    """One node's calls. `at`: when the next is due, in ms of the host's clock; FAR while a watch is open."""
+
+    __slots__ = ("at", "failures", "_within", "_nodes", "_chance", "_served")
+
+    def __init__(self, now: float, nodes: int, within_ms: float, chance: Callable[[], float]) -> None:
+        """`nodes`: over the fleet, as told. `within_ms`: a node has to ask so often. `chance`: a draw."""
+        self._nodes, self._within, self._chance = max(1, nodes), within_ms, chance
+        self.failures, self._served = 0, False
+        self.at = now + within_ms / 2 * (1 - 1 / self._nodes) * chance()
+
+    def retimed(self, nodes: int, within_ms: float) -> None:
+        """New settings; what is due stays due."""
+        self._nodes, self._within = max(1, nodes), within_ms
+
+    @property
+    def span(self) -> float:
+        """Over which the whole fleet may ask once, in ms."""
+        return min(self._within / 2, self._nodes * EACH_MS)
+
+    def asked(self, now: float) -> None:
+        """The call is made."""
+        self._served = False
+        self.at = now + self._within / 2  # no answer by then: ask again
+
+    def told(self) -> None:
+        """A list has come."""
+        self.failures, self._served, self.at = 0, True, FAR
+
+    def lost(self, now: float, how: Loss, after_ms: float = 0.0) -> float:
+        """The watch or the call has ended; when the next call is due. `after_ms`: as discovery said."""
+        if how == Loss.REFUSED or not self._served:
+            first = max(self._within / 20, self.span)
+            most = max(self._within / 4, 2 * self.span)
+            wait = min(most, first * 2**min(self.failures, 16)) * (0.5 + self._chance())
+            self.failures += 1
+        else:
+            # Danger: all watches end at once, and the one who asks first is no better off than the last.
+            least = self._within / 40
+            widest = min(self.span, SILENT_MS) if how == Loss.SILENT else self.span
+            wait = least + max(least, widest) * self._chance()
+        self._served = False
+        self.at = now + max(wait, min(after_ms, self._within) * (1 + self._chance()) if after_ms > 0 else 0.0)
+        return self.at
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -132,7 +132,7 @@
         self.wakes: list[float] = []
         self.arrivals: list[float] = []
         self.told_from: dict[str, int] = {}
-        self.asked, self.logs, self.closed, self.count = 0, [], [], 0
+        self.logs, self.closed, self.count = [], [], 0
         self.moods: dict[str, str] = {}
 
     # the host's side
@@ -213,9 +213,6 @@
         assert server_id in self.told and all(self.txs[r][n]["server"] != server_id for r, n in self.out)
         self.closed.append(server_id)
 
-    def watch(self) -> None:
-        self.asked += 1
-
     def wake(self, at_ms: float) -> None:
         self.wakes.append(at_ms)
 
--- /dev/null
+++ b/tests/test_asking.py
@@ -0,0 +1,129 @@
+"""Hundreds of nodes and one discovery: calls stay under a stated bound, the last list comes in time."""
+
+from collections import Counter
+from collections.abc import Callable
+
+import pytest
+
+from hookpitch.balancer.interface import ListKind
+from hookpitch.core.chance import draws
+from hookpitch.net.discovery import retry_after
+from hookpitch.simwire.adapter import Seat
+from hookpitch.startup.asking import FAR, Asking, Loss
+
+WITHIN = 10000.0
+
+
+def fleet(count: int, seed: int = 1) -> list[Asking]:
+    return [Asking(0.0, count, WITHIN, draws(seed * 1000 + n, "ask")) for n in range(count)]
+
+
+def played(nodes: list[Asking], takes: float, until: float, events: dict[float, Callable[[], None]]
+           ) -> tuple[Counter[int], list[float]]:  # fmt: skip
+    """Calls in each second, and when each node's list came last, with a discovery that takes so many calls
+    a second; `events` happen at their ms. Steps of 10 ms."""
+    calls, listed, room = Counter[int](), [FAR] * len(nodes), 0.0
+    for now in range(0, int(until), 10):
+        room = min(takes, room + takes / 100)
+        for at in [at for at in events if at <= now]:
+            events.pop(at)()
+        for n, a in enumerate(nodes):
+            if a.at <= now:
+                a.asked(now)
+                calls[now // 1000] += 1
+                if room >= 1:
+                    room -= 1
+                    a.told()
+                    listed[n] = now
+                else:
+                    a.lost(now, Loss.REFUSED)
+    return calls, listed
+
+
+def test_draws_of_neighbouring_seeds_come_evenly() -> None:
+    for n in (1, 2, 7):  # the first draw, the second, the seventh, of 300 nodes
+        of = [draws(seed, "ask") for seed in range(1000, 1300)]
+        values = [[d() for _ in range(n)][-1] for d in of]
+        fifths = Counter(int(5 * v) for v in values)
+        assert min(fifths.values()) >= 40 and max(fifths.values()) <= 80
+
+
+@pytest.mark.parametrize("count", [1, 10, 60, 300, 1000])
+def test_a_start_of_any_size_is_spread_and_the_last_list_comes_in_time(count: int) -> None:
+    takes = max(2.0, count / 15)  # a fifteenth of the fleet a second
+    calls, listed = played(fleet(count), takes, 60000, {})
+    assert max(calls.values()) <= max(8, 0.4 * count)
+    assert max(listed) <= 45000.0
+
+
+def test_watches_that_are_lost_together_are_asked_for_over_a_span() -> None:
+    nodes = fleet(300)
+    for a in nodes:
+        a.told()
+
+    def lose(how: Loss) -> Callable[[], None]:
+        return lambda: [a.lost(1000.0, how) for a in nodes] and None
+
+    calls, listed = played(nodes, 1e9, 20000, {1000.0: lose(Loss.ENDED)})
+    assert max(calls.values()) <= 90 and max(listed) <= 1000 + WITHIN / 2 + 300
+    calls, listed = played(nodes, 1e9, 20000, {1000.0: lose(Loss.SILENT)})
+    # Danger: what a silent watch misses counts from the silence, so there is little time for draws.
+    assert max(listed) <= 1000 + 1500 + 300
+
+
+def test_a_lone_nodes_lost_watch_is_asked_for_at_once() -> None:
+    (a,) = fleet(1)
+    a.told()
+    assert a.lost(1000.0, Loss.ENDED) <= 1000.0 + 2 * WITHIN / 40
+
+
+def test_a_node_that_is_refused_asks_less_and_within_the_rules_time() -> None:
+    for count in (1, 6, 60, 300, 5000):
+        (a, *_) = fleet(count)
+        gaps, now = [], 0.0
+        for _ in range(40):
+            a.asked(now)
+            gaps.append(a.lost(now, Loss.REFUSED) - now)
+            now = a.at
+        assert max(gaps) <= 1.5 * WITHIN and min(gaps) >= WITHIN / 40
+        assert sum(gaps[-10:]) > sum(gaps[:2])
+        a.told()
+        assert a.at == FAR and a.failures == 0
+        a.asked(now)
+        a.told()
+        a.lost(now, Loss.ENDED)
+        assert a.at - now <= WITHIN / 2 + 300  # what was learnt of discovery's trouble does not stay
+
+
+def test_a_call_that_is_not_answered_has_failed_in_time() -> None:
+    (a,) = fleet(1)
+    a.asked(500.0)
+    assert a.at == 500.0 + WITHIN / 2
+
+
+def test_when_discovery_says_when_to_come_back_it_is_heeded_within_bounds() -> None:
+    for seconds, least, most in ((4, 4000.0, 8000.0), (999999, WITHIN, 2 * WITHIN)):
+        a = fleet(60)[7]
+        a.asked(0.0)
+        after = retry_after([(b"server", b"x"), (b"Retry-After", b"%d" % seconds)])
+        assert least <= a.lost(0.0, Loss.REFUSED, after) <= most
+    assert retry_after([(b"Retry-After", b"Wed, 21 Oct 2015 07:28:00 GMT")]) == retry_after([]) == 0.0
+
+
+def test_an_instance_in_the_simulator_asks_by_the_same_module() -> None:
+    out: list[str] = []
+    seat = Seat("n1", out)
+    seat.asking = fleet(60)[3]
+    seat.ask(0.0)
+    assert len(out) == 1 and out[0].startswith("TIMER n1 ")
+    seat.ask(0.0)
+    assert len(out) == 1  # told once
+    at = seat.asking.at
+    seat.ask(at)
+    assert out[1] == "SUBSCRIBE n1 1"
+    seat.listed(at, ListKind.FAILED)
+    assert at < seat.asking.at < at + WITHIN
+    seat.listed(at, ListKind.CACHED)
+    assert seat.asking.at < FAR
+    seat.listed(at, ListKind.DELTA)
+    assert seat.asking.at == FAR
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -103,14 +103,6 @@
     assert 0 < got.count("s4") <= 0.35 * len(got) / 4
 
 
-def test_a_lost_watch_is_asked_for_again() -> None:
-    f = fleet()
-    assert f.asked == 1
-    f.listed([], ListKind.FAILED)
-    f.pass_time(9000.0)
-    assert f.asked >= 2
-
-
 def test_over_its_share_a_customer_is_exhausted_first() -> None:
     f = fleet(1, customers=(Customer("small", 1.0), Customer("big", 1000.0)), max_retry_after_ms=400.0)
     mine = [f.arrive(f"a{i}", customer="small") for i in range(30)]
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -4,7 +4,7 @@
 
 from fleet import ORIGIN, Fleet, deployment, entry
 
-from hookpitch.balancer.interface import Customer, ListKind, Method, Outcome, State
+from hookpitch.balancer.interface import Customer, ListKind, Method, Outcome
 
 SERVERS = [entry(f"s{i}") for i in range(8)] + [entry("o1", kind=ORIGIN)]
 
@@ -87,17 +87,6 @@
         assert bool(f.closed) == closed
 
 
-def test_nodes_that_start_together_ask_discovery_one_by_one() -> None:
-    fleets = [node(300, random.Random(seed).getrandbits(53)) for seed in range(40)]
-    assert sum(f.asked for f in fleets) == 0
-    for f in fleets:
-        f.pass_time(1000.0)
-    assert 0 < sum(f.asked for f in fleets) < 20
-    for f in fleets:
-        f.pass_time(9000.0)
-    assert all(f.asked for f in fleets)
-
-
 def test_overload_sheds_the_least_gain_first_and_stops_when_it_is_over() -> None:
     dear, cheap = Method("dear", 400.0, 1000.0, 5.0), Method("cheap", 400.0, 1000.0, 1.0)
     f = node(300, methods=(dear, cheap))
@@ -111,23 +100,6 @@
     assert f.node.shed == 0.0 and f.txs[f.arrive("last", "cheap")]
 
 
-def test_a_jammed_discovery_is_asked_again_and_a_drain_is_kept_meanwhile() -> None:
-    f = node(300)
-    f.listed([entry("s0", State.DRAINING)], ListKind.DELTA)
-    f.listed([], ListKind.FAILED)  # the watch is lost
-    asked_at = []
-    for i in range(600):
-        before = f.asked
-        f.pass_time(100.0)
-        if f.asked > before:
-            asked_at.append(f.now)
-            f.listed([], ListKind.FAILED)  # every call fails
-        f.end(f.arrive(f"k{i}"), Outcome.COMPLETED)
-    gaps = [b - a for a, b in zip(asked_at, asked_at[1:], strict=False)]
-    assert max(gaps) <= 10000.0 and len(gaps) < 60  # within ask_within, and no storm
-    assert all(to != "s0" for _, to, _ in f.sends)
-
-
 def test_the_origins_limit_falls_when_its_mean_is_slow_not_when_its_work_varies() -> None:
     for varies in (True, False):  # the soft deadline is 400 ms
         f = node(1)
