A discovery that counts versions anew is heeded on one watch; stopped nodes draw anew

Change: an older list ends the watch no more; the watch's beats count, and at the fourth word its list is taken; changes alone lead to a call for the whole list. What an older list takes away is let go at once, as before.

--- a/hookpitch/net/discovery.py
+++ b/hookpitch/net/discovery.py
@@ -24,7 +24,7 @@
 ASK_WITHIN_MS = 10000.0  # a node asks so often, where nothing is told
 DIALS = 4  # times the time-out of a dial to a server, for one to discovery
 LINE_MOST = 1 << 24  # bytes
-OLDER_MOST = 3  # lists older than the one held, before such a one is taken
+OLDER_MOST = 3  # times that a discovery which counts lower is heard, beats included, before it is taken
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 
 
@@ -115,6 +115,8 @@
             line = self.lines.read(end + 1).strip()
             if line:
                 discovery.told(line)
+            else:
+                discovery.beaten()
         if len(self.lines) > LINE_MOST:
             raise ValueError("line too long")
 
@@ -157,12 +159,20 @@
         self.asking = Asking(clock.now(), d.nodes, d.ask_within_ms or ASK_WITHIN_MS, draws(d.seed, "ask"))
         self.due: Deadline | None = None
         self.first: Callable[[], None] | None = None  # called once a list has come
-        self.older = 0  # lists in a row that were older than the one held
+        self.older = 0  # times in a row that it was heard with versions lower than the one held,
+        self.lower = 0  # one more than the last such version; 0: it has none on this watch
+        self.anew: dict[str, tuple[Entry, str]] | None = None  # the whole list with it, and dials
 
     def begin(self) -> None:
         """From now on it asks when its time has come."""
         self.clock.deadlines.drop(self.due)
-        self.due = self.clock.deadlines.add(self.asking.at, self.watch) if self.asking.at < FAR else None
+        self.due = self.clock.deadlines.add(self.asking.at, self._due) if self.asking.at < FAR else None
+
+    def _due(self, now: float) -> None:
+        if self.asking.due(now):
+            self.watch(now)
+        else:
+            self.begin()
 
     def reconfigured(self) -> None:
         d = self.host.deployment
@@ -184,7 +194,7 @@
         if address == self.address and self.current is not None and not anew:
             return
         if address != self.address or anew:
-            self.address, self.seq, self.older = address, 0, 0
+            self.address, self.seq, self.older, self.lower, self.anew = address, 0, 0, 0, None
         self.watch(self.clock.now())
 
     def told(self, line: bytes) -> None:
@@ -192,25 +202,52 @@
         if whole and not entries:
             # Danger: a discovery that has lost its data would empty the list of every node.
             raise ValueError("a whole list without servers")
-        if seq < self.seq and self.older < OLDER_MOST:
-            # Danger: one that lags brings back servers long gone. One that insists has begun to count anew.
-            self.older += 1
-            # It brings none back, but what it takes away is let go at once: rule 3 counts from this telling.
-            away = [e for e in entries if e.state != State.READY]
-            if away:
-                self.host.listed(self.clock.now(), ListKind.DELTA, away, dials)
-            raise ValueError(f"version {seq} is older than {self.seq}")
-        self.seq, self.older = seq, 0
         self.asking.told()
         self.begin()
+        if seq < self.seq:
+            return self._older(seq, whole, entries, dials)
+        self.seq, self.older, self.lower, self.anew = seq, 0, 0, None
         kind = ListKind.FULL if whole else ListKind.DELTA
         self.host.listed(self.clock.now(), kind, entries, dials)
         if self.first is not None:
             self.first()
 
+    def _older(self, seq: int, whole: bool, entries: Sequence[Entry], dials: Mapping[str, str]) -> None:
+        """Discovery lags, or has begun to count anew."""
+        # Danger: one that lags brings back servers long gone: that waits until it has been heard some times.
+        # Danger: hundreds of nodes that call again each time; the watch stays open, and its beats count.
+        if whole:
+            self.anew = {}
+        if self.anew is not None:
+            self.anew |= {e.id: (e, dials[e.id]) for e in entries if e.state != State.GONE}
+            for id in [e.id for e in entries if e.state == State.GONE]:
+                self.anew.pop(id, None)
+        self.lower = seq + 1
+        self.host.odd("versions", f"discovery has version {seq}, {self.seq} is held")
+        # It brings none back, but what it takes away is let go at once: rule 3 counts from this telling.
+        away = [e for e in entries if e.state != State.READY]
+        if away:
+            self.host.listed(self.clock.now(), ListKind.DELTA, away, dials)
+        self.beaten()
+
+    def beaten(self) -> None:
+        """Discovery was heard, and told nothing newer than is held."""
+        if not self.lower:
+            return
+        self.older += 1
+        if self.older > OLDER_MOST:
+            known, self.seq, self.older = self.anew, self.lower - 1, 0
+            self.anew, self.lower = None, 0
+            if known is None:  # changes alone: of what list, only the whole one tells
+                self.seq = 0
+                raise ValueError("versions are counted anew")
+            entries, dials = [e for e, _ in known.values()], {id: d for id, (_, d) in known.items()}
+            self.host.listed(self.clock.now(), ListKind.FULL, entries, dials)
+
     def lost(self, watch: Watch, how: Loss, after_ms: float) -> None:
         if watch is self.current:
-            self.current, now = None, self.clock.now()
+            # What was heard of a discovery that counts lower stays counted; its list may be another's by now.
+            self.current, self.anew, self.lower, now = None, None, 0, self.clock.now()
             if not self.asking.failures:
                 self.host.log("discovery lost, asking again")
             self.host.listed(now, ListKind.FAILED, [], {})
--- a/hookpitch/startup/asking.py
+++ b/hookpitch/startup/asking.py
@@ -25,6 +25,7 @@
 
 EACH_MS = 50.0  # of a span, for each node: twenty calls a second over the fleet
 SILENT_MS = 1500.0  # the widest span after a watch that fell silent
+LATE_MS = 500.0  # a node so late with its call was stopped, or is very busy
 FAR = float("inf")
 
 
@@ -56,6 +57,14 @@
         """Over which the whole fleet may ask once, in ms."""
         return min(self._within / 2, self._nodes * EACH_MS)
 
+    def due(self, now: float) -> bool:
+        """Whether to ask now. Danger: nodes that were all stopped find their times past, and ask together as
+        they go on: those draw anew, once."""
+        if now < self.at + LATE_MS:
+            return now >= self.at
+        self.at = now + min(self.span, SILENT_MS) * self._chance()
+        return False
+
     def asked(self, now: float) -> None:
         """The call is made."""
         self._served = False
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -71,6 +71,17 @@
     assert max(listed) <= 1000 + 1500 + 300
 
 
+def test_nodes_that_were_all_stopped_draw_anew_as_they_go_on() -> None:
+    nodes = fleet(300)
+    late = [a for a in nodes if a.at < 2000.0]
+    at = []
+    for a in late:
+        assert not a.due(3000.0) and 3000.0 <= a.at <= 4500.0
+        assert a.due(a.at) and not a.due(a.at - 1)
+        at.append(a.at)
+    assert len(late) > 60 and max(at) - min(at) > 1000.0
+
+
 def test_a_lone_nodes_lost_watch_is_asked_for_at_once() -> None:
     (a,) = fleet(1)
     a.told()
