--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -172,7 +172,7 @@
         self.asked, self.turned, self.pressure, self.shed = 1, 0, 0.0, 0.0  # shed: turned away at the door
         self.burden, self.lag, self.away_at = 0.0, 0.0, -FAR  # the node's own
         self.flow, self.typical = dict[str, float](), 0.0  # work lately asked for; its unit in ms
-        self.trials = TRIALS  # second opinions on an error that the node may ask for
+        self.trials, self.idle = TRIALS, FAR  # second opinions on an error; how long a connection may be idle
         self.reconfigured(now, d)
         self.next_beat, self.next_round = now + self.window, now + ROUND_MS * (1 + self._chance())
 
@@ -189,7 +189,8 @@
         self.advice = d.gone_is_advice
         self.boost_most, self.overage_gain = max(1.0, d.overload_factor / 1.5), d.overage_gain
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
-        self.idle = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else FAR
+        self.held = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else d.conn_idle_ms
+        self.idle = min(self.idle, self.held)
         self.parts = self.bands = self._bands(dict.fromkeys(self.methods, 1.0))  # parts: as they come in
         self.mix = {name: self.mix.get(name, 0.0) for name in self.methods}
         self.flow = {name: self.flow.get(name, 0.0) for name in self.methods}
@@ -506,6 +507,8 @@
 
     def _send(self, rpc: Rpc, s: Server, host: Host) -> None:
         now, tx, rpc.live = self.now, Tx(rpc, s, len(rpc.txs), self.now), rpc.live + 1
+        if s.open and not s.live and now - s.last > self.idle:  # Danger: it may have been dropped unseen.
+            host.close(s.id)
         self.trials -= rpc.accused is not None
         rpc.txs.append(tx)
         s.live[tx] = None
@@ -634,6 +637,8 @@
             s.limit += (1.0 if s is self.origin else s.growth) * min(s.limit, 1 / s.limit)
 
     def _strike(self, s: Server) -> None:
+        # Danger: tables full of idle connections, and such as were dropped unseen: all hold them for less.
+        self.idle = max(min(self.held, self.pause), 0.8 * self.idle)
         if s is self.origin:  # there is no other: it is asked less, never left
             s.limit = max(s.least, min(s.limit, len(s.live) + 1) * (0.8 if s.live else 0.5))
             return
@@ -775,7 +780,7 @@
         now, span, self.beat_at = self.now, max(self.now - self.beat_at, 1.0), self.now
         self.next_beat = now + self.window
         late, asked, self.asked, self.turned = self.turned / self.asked, self.asked, 1, 0
-        self.pressure = max(late, self.pressure / 2)
+        self.pressure, self.idle = max(late, self.pressure / 2), min(self.held, 1.05 * self.idle)
         # Danger: more than the fleet can do, from nodes that never fill a server, is late as a whole.
         self.shed = min(0.9, max(0.0, self.shed + (late / 4 if late > SHED_FROM else -SHED_FROM / 4)))
         for s in self.servers.values():
