--- a/hookpitch/__main__.py
+++ b/hookpitch/__main__.py
@@ -25,11 +25,11 @@
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
-        told = post(os.environ)
+        told, sections = post(os.environ), {}
         if os.environ.get("HOOKPITCH_CONFIG"):  # what is off is not even imported
             from hookpitch.net.operator import house
 
-            house(os.environ)
+            sections = house(os.environ).sections
     except ValueError as fault:
         print(f"hookpitch: cannot start: {fault}", file=sys.stderr)
         return 2
@@ -42,6 +42,10 @@
     reactor.seconds = time.monotonic
     logger = log.start(told.name, counters)
     node = SocketNode(reactor, Clock(reactor), told, counters, logger)
+    if "snapshot" in sections:
+        from hookpitch.net.keep import Keeper, in_thread
+
+        node.keeper = Keeper(sections["snapshot"], node, partial(in_thread, reactor))
     # Danger: a signal that comes as soon as the log says "serving" would be lost, or end the node.
     reload = partial(node.reload, partial(anew, os.environ))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
--- a/hookpitch/cli/__init__.py
+++ b/hookpitch/cli/__init__.py
@@ -6,6 +6,7 @@
 
 from hookpitch.cli.lab import lab
 from hookpitch.cli.node import check, node
+from hookpitch.cli.snapshot import snapshot
 from hookpitch.cli.standin import standin
 
 
@@ -14,5 +15,5 @@
     """A router for fleets of cache servers, and the tools around it."""
 
 
-for command in (node, check, standin, lab):
+for command in (node, check, snapshot, standin, lab):
     main.add_command(command)
--- a/hookpitch/core/chance.py
+++ b/hookpitch/core/chance.py
@@ -1,4 +1,4 @@
-"""Draws from a seed and a counter, the same in every run; each user of a seed has a name and its own draws."""
+"""Draws from a seed and a counter, the same in every run; each user of a seed has a name and own draws."""
 
 from __future__ import annotations
 
--- a/hookpitch/lab/experiment.py
+++ b/hookpitch/lab/experiment.py
@@ -132,7 +132,8 @@
 
 class Nodes(Strict):
     """`event_us`: CPU that each event of a node takes, in microseconds of its core. `peer_port`: where nodes
-    may talk to one another, TCP and UDP; 0: no links between them."""
+    may talk to one another, TCP and UDP; 0: no links between them. `snapshot_s`: how often each writes what
+    it has learned to a disk that lasts; 0: never."""
 
     count: int = 1
     sockets: int = 1024
@@ -140,6 +141,7 @@
     event_us: float = 0.0
     peer_port: int = 0
     debug: bool = True
+    snapshot_s: float = 0.0
 
 
 class Method(Strict):
@@ -306,6 +308,8 @@
     bad("fleet.cold_from", 0 < f.fleet.cold_from <= 1, "wants more than 0, at most 1")
     bad("fleet.kinds", bool(f.fleet.kinds) and "origin" not in f.fleet.kinds, "wants names, not origin")
     bad("nodes.count", 1 <= f.nodes.count <= 1000, "wants 1 to 1000")
+    kept = f.nodes.snapshot_s
+    bad("nodes.snapshot_s", kept == 0 or 0.5 <= kept <= 3600, "wants 0, or 0.5 to 3600")
     bad("nodes.sockets", f.nodes.sockets >= 64, "wants 64 or more")
     bad("traffic.rate", f.traffic.rate > 0, "wants more than 0")
     bad("traffic.keys", f.traffic.keys >= 1, "wants 1 or more")
--- a/hookpitch/lab/nodes.py
+++ b/hookpitch/lab/nodes.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from hookpitch.core.counters import Counters
 from hookpitch.lab.world import Machine
 from hookpitch.net.clock import Clock
+from hookpitch.net.keep import Keeper, Settings, done
 from hookpitch.net.node import BACKLOG, SocketNode
 from hookpitch.net.start import anew, read_post
 
@@ -19,6 +21,7 @@
 DISCOVERY_PORT, NODE_PORT, DOOR_PORT = 8500, 6379, 15000
 READY_S = 6.0  # by then a new process beside an old one serves
 LOOK_S = 0.1  # between two looks at whether it does
+DISK_S = 0.005  # that a snapshot takes to be written
 ENDED_S = 0.7  # past its longest deadline, an old process is killed
 
 
@@ -64,8 +67,16 @@
         clock = Clock(reactor, reactor.seconds, lambda: world.epoch + world.now)
         log = _Log(run, self.name)
         self.node = SocketNode(reactor, clock, told, self.counters, log, lambda: machine.used)
+        if run.x.nodes.snapshot_s:
+            kept = Settings(f"{run.folder.name}/{{name}}.snapshot", run.x.name, run.x.nodes.snapshot_s)
+            self.node.keeper = Keeper(kept, self.node, partial(self._away, reactor))
         self.node.start()
 
+    @staticmethod
+    def _away(reactor: Any, work: Callable[[], None], then: Callable[[str], None]) -> None:  # noqa: ANN401
+        # A disk that takes a moment: what is killed meanwhile has written nothing.
+        reactor.callLater(DISK_S, lambda: then(done(work)))
+
     def upgrade(self) -> None:
         """A second process beside the first, which gets SIGTERM once the new one says yes."""
         if self.node is None or self.elder is not None:
--- a/hookpitch/lab/processes.py
+++ b/hookpitch/lab/processes.py
@@ -144,6 +144,11 @@
         shared = run.folder / f"{self.name}.shared"
         shared.mkdir(exist_ok=True)
         environment = {"PROXY_CONFIG": str(path), "TMPDIR": str(shared)}
+        if run.x.nodes.snapshot_s:
+            own = run.folder / f"{self.name}.toml"
+            own.write_text(f'[snapshot]\npath = "{run.folder}/{{name}}.snapshot"\n'
+                           f'fleet = "{run.x.name}"\nevery_s = {run.x.nodes.snapshot_s}\n')  # fmt: skip
+            environment["HOOKPITCH_CONFIG"] = str(own)
         fds = []
         if self.held is not None:
             fds = [self.held.fileno()]
--- a/hookpitch/net/caches.py
+++ b/hookpitch/net/caches.py
@@ -332,6 +332,10 @@
             getattr(connection.transport, "doRead", lambda: None)()
         return tx.done
 
+    def dials(self) -> dict[str, str]:
+        """Where each server is dialled."""
+        return {id: f"{host}:{port}" for id, pool in self.pools.items() for host, port in (pool.address,)}
+
     def close_idle(self, server: str) -> None:
         if server in self.pools:
             self.pools[server].shut_idle()
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -5,11 +5,11 @@
 import os
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import fields, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from hookpitch.balancer.interface import ListKind
+from hookpitch.balancer.interface import Entry, ListKind
 from hookpitch.core.counters import Counters
 from hookpitch.core.host import Host
 from hookpitch.net.caches import Pools
@@ -22,6 +22,9 @@
 from hookpitch.net.pulse import Pulse
 from hookpitch.net.start import Anew, Post
 
+if TYPE_CHECKING:
+    from hookpitch.net.keep import Keeper
+
 BACKLOG = 4096
 OWN = 14  # descriptors: standard ones, the poller's, discovery's two, Twisted's reserve
 DOOR = CALLERS + SPARE + 4  # the door's, the inherited socket's and the shared files'
@@ -29,6 +32,7 @@
 FOLLOW_MS = 200.0  # between two looks at what the node's other process was told
 PARTING_MS = 400.0  # over which a process that another follows closes what is idle
 SERVE_ON_MS = 500.0  # after being asked to leave, while clients still come
+LAST_MS = 100.0  # for the last snapshot to be written
 REPLY_MS = 150.0  # past the longest deadline, for the last answers to be written
 
 
@@ -50,12 +54,13 @@
         self.pulse = Pulse(clock, self.host, cpu)
         self.discovery = Discovery(reactor, clock, self.host, post.discovery, post.seq)
         self.host.carrier = self.pools
-        self.leaving = self.paused = self.up = False
+        self.leaving = self.paused = self.up = self.parted = False
         self.pauses = 0  # so far; a drain's later steps are its own
         self.port: Any = None
         self.entry: Any = None
         self.door = Door(clock, self, counters.add)
         self.shared: Handover | None = None
+        self.keeper: Keeper | None = None  # of a snapshot, where the operator's file has one
         self.processes, self._look = 1, False  # of this node, as last seen; whether to look again
         self.whole = servers, room, self.host.held.most  # what one process alone may hold
 
@@ -68,7 +73,9 @@
             self.entry = listen(self.post.management[1], self.door, CALLERS, self.post.management[0])
         if self.post.inherited is None:
             self.port = self.reactor.listenTCP(port, self.clients, backlog=BACKLOG, interface=address)
-        self.host.listed(self.clock.now(), ListKind.CACHED, list(self.post.known), self.post.dials)
+        self.known(self.post.seq, list(self.post.known), self.post.dials)
+        if self.keeper is not None:
+            self.keeper.recall()
         if self.post.management is not None and self.post.shared:
             self._share()
         if self.post.inherited is None:
@@ -81,6 +88,11 @@
         self.discovery.watch(self.clock.now())
         self.clock.deadlines.add(self.clock.now() + FIRST_LIST_MS, lambda _: self._serve())
 
+    def known(self, seq: int, entries: list[Entry], dials: Mapping[str, str]) -> None:
+        """The list of before, until discovery tells one."""
+        self.discovery.seq = seq
+        self.host.listed(self.clock.now(), ListKind.CACHED, entries, dials)
+
     def _serve(self) -> None:
         """Clients are taken from now on."""
         self.discovery.first = None
@@ -262,6 +274,13 @@
         return 0.0 if self.post.inherited is None else PARTING_MS
 
     def _end(self) -> None:
+        if self.keeper is not None and not self.parted:
+            # Danger: what was learned since the last turn is lost; a disk that stalls holds the end up.
+            self.parted = True
+            self.keeper.write()
+            wait = LAST_MS if self.keeper.out else 0.0
+            self.clock.deadlines.add(self.clock.now() + wait, lambda _: self._end())
+            return
         if self.shared is not None:
             self.shared.close()
             self.shared = None
--- a/hookpitch/net/operator.py
+++ b/hookpitch/net/operator.py
@@ -12,8 +12,10 @@
 from pathlib import Path
 from typing import Any
 
+from hookpitch.net import keep
+
 # By name: what reads and checks a section; ValueError says what is wrong.
-SECTIONS: dict[str, Callable[[Mapping[str, Any]], Any]] = {}
+SECTIONS: dict[str, Callable[[Mapping[str, Any]], Any]] = {"snapshot": keep.settings}
 
 
 @dataclass(frozen=True, slots=True)
