--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -9,7 +9,7 @@
 from dataclasses import fields, replace
 from typing import TYPE_CHECKING, Any
 
-from hookpitch.balancer.interface import Entry, ListKind
+from hookpitch.balancer.interface import Entry, ListKind, State
 from hookpitch.core.counters import Counters
 from hookpitch.core.host import Host
 from hookpitch.net.caches import Pools
@@ -21,6 +21,7 @@
 from hookpitch.net.origin import OriginConnection
 from hookpitch.net.pulse import Pulse
 from hookpitch.net.start import Anew, Post
+from hookpitch.startup.phases import Phase, Seen, Start
 
 if TYPE_CHECKING:
     from hookpitch.net.keep import Keeper
@@ -32,6 +33,8 @@
 FOLLOW_MS = 200.0  # between two looks at what the node's other process was told
 PARTING_MS = 400.0  # over which a process that another follows closes what is idle
 SERVE_ON_MS = 500.0  # after being asked to leave, while clients still come
+PHASE_MS = 250.0  # between two looks at how far the start is
+ENOUGH = 4  # answers of a server, from which on it is known
 LAST_MS = 100.0  # for the last snapshot to be written
 REPLY_MS = 150.0  # past the longest deadline, for the last answers to be written
 
@@ -60,6 +63,7 @@
         self.entry: Any = None
         self.door = Door(clock, self, counters.add)
         self.shared: Handover | None = None
+        self.phases = Start(clock.now())
         self.keeper: Keeper | None = None  # of a snapshot, where the operator's file has one
         self.processes, self._look = 1, False  # of this node, as last seen; whether to look again
         self.whole = servers, room, self.host.held.most  # what one process alone may hold
@@ -76,6 +80,7 @@
         self.known(self.post.seq, list(self.post.known), self.post.dials)
         if self.keeper is not None:
             self.keeper.recall()
+        self.clock.deadlines.add(self.clock.now() + PHASE_MS, self._phase)
         if self.post.management is not None and self.post.shared:
             self._share()
         if self.post.inherited is None:
@@ -107,11 +112,30 @@
         address, port = self.post.listen
         self.logger.info("serving", listen=f"{address}:{port}", servers=len(self.post.known))
 
+    def _phase(self, now: float) -> None:
+        caches = [s for s in self.host.node.caches if s.state == State.READY]
+        asked = [s for s in caches if s.sent or s.rate or s.heard]
+        answered, known = sum(s.heard > 0 for s in asked), sum(s.heard >= ENOUGH for s in asked)
+        counters, phases = self.host.counters, self.phases
+        listed = any(name in counters.counts for name in ("lists.full", "lists.delta"))
+        if phases.look(now, Seen(listed, len(asked), answered, known)):
+            took = round(now - phases.begun)
+            if phases.lacked:
+                counters.add(f"start.{phases.lacked}")
+            elif phases.phase == Phase.DIALLING:
+                counters.add("start.listed_ms", took)
+            lacked = phases.lacked or "nothing"
+            self.logger.info("start", phase=phases.phase.name.lower(), ms=took, lacked=lacked)
+        if phases.phase != Phase.ORDINARY:
+            self.clock.deadlines.add(now + PHASE_MS, self._phase)
+
     # ---- operators
 
     def ready(self) -> str:
         if self.leaving or self.paused:
             return "leaving" if self.leaving else "draining"
+        if self.up and not self.host.node.servers:
+            return "no list of servers yet"
         return "" if self.up else "starting"
 
     def figures(self) -> list[tuple[str, int]]:
@@ -124,7 +148,8 @@
                 ("members", members), ("members_unavailable", out),
                 ("config_reloads", counts.get("config_reloads", 0)),
                 ("config_reload_errors", counts.get("config_reload_errors", 0)),
-                ("config_changes", counts.get("config_changes", 0))]  # fmt: skip
+                ("config_changes", counts.get("config_changes", 0)),
+                ("start_phase", int(self.phases.phase))]  # fmt: skip
         return by_method + more
 
     def suspend(self, id: str) -> str:
