--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -507,7 +507,7 @@
 
     def _send(self, rpc: Rpc, s: Server, host: Host) -> None:
         now, tx, rpc.live = self.now, Tx(rpc, s, len(rpc.txs), self.now), rpc.live + 1
-        if s.open and not s.live and now - s.last > self.idle < self.held:  # Danger: it may be dropped unseen.
+        if s.open and not s.live and now - s.last > self.idle < self.held:  # Danger: it was dropped unseen.
             host.close(s.id)
         self.trials -= rpc.accused is not None
         rpc.txs.append(tx)
