--- a/hookpitch/lab/experiment.py
+++ b/hookpitch/lab/experiment.py
@@ -133,7 +133,8 @@
 class Nodes(Strict):
     """`event_us`: CPU that each event of a node takes, in microseconds of its core. `peer_port`: where nodes
     may talk to one another, TCP and UDP; 0: no links between them. `snapshot_s`: how often each writes what
-    it has learned to a disk that lasts; 0: never."""
+    it has learned to a disk that lasts; 0: never. `known`: the list that it is told at its start: of
+    now, of yesterday (every server in it is gone) or none."""
 
     count: int = 1
     sockets: int = 1024
@@ -142,6 +143,7 @@
     peer_port: int = 0
     debug: bool = True
     snapshot_s: float = 0.0
+    known: Literal["now", "yesterday", "none"] = "now"
 
 
 class Method(Strict):
--- a/hookpitch/lab/run.py
+++ b/hookpitch/lab/run.py
@@ -181,6 +181,11 @@
         node."""
         x, seq_hosts = self.x, self.directory.whole()
         kinds = list(dict.fromkeys(x.fleet.kinds))
+        hosts = [h.wire(net) for h in seq_hosts[1]] if x.nodes.known != "none" else []
+        if x.nodes.known == "yesterday":  # other processes, at ports where nobody listens now
+            old = [h for h in hosts if h["class"] != "origin"]
+            hosts = [h | {"host": f"y{h['host']}", "dial": f"{h['dial']}9"} for h in old]
+        seq = seq_hosts[0] if x.nodes.known == "now" else 0
         methods = [
             {
                 "name": m.name,
@@ -199,7 +204,7 @@
             "discovery": discovery,
             "seed": self.seed * 1000 + len(self.nodes) * node.starts + int(node.name[1:]),
             "limits": {"memory_mb": x.nodes.memory_mb, "sockets": x.nodes.sockets},
-            "known": {"seq": seq_hosts[0], "whole": True, "hosts": [h.wire(net) for h in seq_hosts[1]]},
+            "known": {"seq": seq, "whole": True, "hosts": hosts},
             "settings": {
                 "balancers": x.nodes.count,
                 "methods": methods,
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -34,6 +34,7 @@
 PARTING_MS = 400.0  # over which a process that another follows closes what is idle
 SERVE_ON_MS = 500.0  # after being asked to leave, while clients still come
 PHASE_MS = 250.0  # between two looks at how far the start is
+VAIN = 3  # failures, and no answer from anyone, after which the list of before is of no use
 ENOUGH = 4  # answers of a server, from which on it is known
 LAST_MS = 100.0  # for the last snapshot to be written
 REPLY_MS = 150.0  # past the longest deadline, for the last answers to be written
@@ -126,6 +127,10 @@
                 counters.add("start.listed_ms", took)
             lacked = phases.lacked or "nothing"
             self.logger.info("start", phase=phases.phase.name.lower(), ms=took, lacked=lacked)
+        # Danger: a list of yesterday, in which every server is gone, served by for seconds.
+        vain = not caches or sum(s.failures for s in caches) >= VAIN and not any(s.heard for s in caches)
+        if phases.phase == Phase.KNOWN and vain and self.discovery.asking.hurried(now):
+            self.discovery.begin()
         if phases.phase != Phase.ORDINARY:
             self.clock.deadlines.add(now + PHASE_MS, self._phase)
 
--- a/hookpitch/startup/asking.py
+++ b/hookpitch/startup/asking.py
@@ -7,7 +7,8 @@
 
 Bounds, for N nodes and W = the time within which a node has to ask (told), with S = min(W/2, N x EACH):
 
-- first calls are spread over W/2 x (1 - 1/N): N / (W/2) a second in the mean;
+- first calls are spread over W/2 x (1 - 1/N): N / (W/2) a second in the mean; over S where the list of before
+  has nobody who serves;
 - a call after a failed one comes half to one and a half times max(W/20, S) later, twice that after each
   further failure, and never later than 1.5 times max(W/4, 2 S) <= 1.5 W: rules that count from the last
   call give 4 W after a failed one;
@@ -40,12 +41,12 @@
 class Asking:
     """One node's calls. `at`: when the next is due, in ms of the host's clock; FAR while a watch is open."""
 
-    __slots__ = ("at", "failures", "_within", "_nodes", "_chance", "_served")
+    __slots__ = ("at", "failures", "_within", "_nodes", "_chance", "_served", "_hurried")
 
     def __init__(self, now: float, nodes: int, within_ms: float, chance: Callable[[], float]) -> None:
         """`nodes`: over the fleet, as told. `within_ms`: a node has to ask so often. `chance`: a draw."""
         self._nodes, self._within, self._chance = max(1, nodes), within_ms, chance
-        self.failures, self._served = 0, False
+        self.failures, self._served, self._hurried = 0, False, False
         self.at = now + within_ms / 2 * (1 - 1 / self._nodes) * chance()
 
     def retimed(self, nodes: int, within_ms: float) -> None:
@@ -65,6 +66,17 @@
         self.at = now + min(self.span, SILENT_MS) * self._chance()
         return False
 
+    def hurried(self, now: float) -> bool:
+        """The list of before has nobody who serves: the first call is drawn over the span that the whole
+        fleet needs, not over the time that the rules give; once a start. True where that is sooner."""
+        if self._hurried or self._served or self.failures:
+            return False
+        self._hurried = True
+        at = now + self.span * self._chance()
+        sooner = at < self.at
+        self.at = min(self.at, at)
+        return sooner
+
     def asked(self, now: float) -> None:
         """The call is made."""
         self._served = False
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -82,6 +82,16 @@
     assert len(late) > 60 and max(at) - min(at) > 1000.0
 
 
+def test_where_the_list_of_before_serves_nobody_the_first_call_comes_sooner_and_not_together() -> None:
+    few, many = fleet(12), fleet(300)
+    assert sum(a.hurried(300.0) for a in few) > 6 and max(a.at for a in few) <= 300 + 12 * 50
+    for a in many:
+        a.hurried(300.0)
+        assert not a.hurried(300.0)
+    calls, _ = played(many, 1e9, 10000, {})
+    assert max(calls.values()) <= 110
+
+
 def test_a_lone_nodes_lost_watch_is_asked_for_at_once() -> None:
     (a,) = fleet(1)
     a.told()
