A process that starts beside another begins with its part of the node's limit at the origin

Change: only the one that has not yet heard the origin begins with its part; the other keeps what it learned.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -247,7 +247,9 @@
 
     def shared_by(self, now: float, processes: float) -> None:
         """So many processes are this one node for now: budgets of cold servers and quotas are the node's."""
-        self.now, self.part, before = now, 1 / processes, self.shares
+        self.now, was, self.part, before = now, self.part, 1 / processes, self.shares
+        if self.origin and not self.origin.heard:  # Danger: a new process beside the old asks for as much again
+            self.origin.limit *= self.part / was
         rate = self.part / 1000 / self.nodes  # of a quota a second over all nodes, to this one's a ms
         self.shares = {c.name: Share(c.quota_per_s * rate, now) for c in self.customers if c.quota_per_s > 0}
         for name, share in self.shares.items():
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -127,3 +127,18 @@
         struck.append(origin.limit)
         assert rpc in f.answers
     assert struck == sorted(struck, reverse=True) and struck[-1] < 0.3
+
+
+def test_a_process_beside_another_asks_the_origin_for_its_part_and_the_old_one_keeps_its_own() -> None:
+    old, new = node(4), node(4)
+    begun = new.node.origin.limit
+    old.end(old.arrive("k"), Outcome.MISS)
+    old.end(next(iter(old.open)), Outcome.COMPLETED)
+    before = old.node.origin.limit
+    for f in (old, new):
+        f.node.shared_by(f.now, 2)
+    assert old.node.origin.limit == before and new.node.origin.limit == begun / 2
+    new.node.shared_by(new.now, 1)
+    assert new.node.origin.limit == begun
+    new.node.reconfigured(new.now, new.d)
+    assert new.node.origin.limit == begun
