The bound on idle connections is no longer mistaken for lowered where a tariff sets it

Cause: 1000 x 0.03 / 0.03 is a little under 1000, so after a failure the bound stood a hair under the one that the tariff gives, and the rule 'idle for longer is closed before a send' held on every send. Lines at fault: the comparison in _send; it acts from a tenth below on.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -248,7 +248,7 @@
     def shared_by(self, now: float, processes: float) -> None:
         """So many processes are this one node for now: budgets of cold servers and quotas are the node's."""
         self.now, was, self.part, before = now, self.part, 1 / processes, self.shares
-        if self.origin and not self.origin.heard:  # Danger: a new process beside the old asks for as much again
+        if self.origin and not self.origin.heard:  # Danger: beside the old one it asks for as much again
             self.origin.limit *= self.part / was
         rate = self.part / 1000 / self.nodes  # of a quota a second over all nodes, to this one's a ms
         self.shares = {c.name: Share(c.quota_per_s * rate, now) for c in self.customers if c.quota_per_s > 0}
@@ -509,7 +509,7 @@
 
     def _send(self, rpc: Rpc, s: Server, host: Host) -> None:
         now, tx, rpc.live = self.now, Tx(rpc, s, len(rpc.txs), self.now), rpc.live + 1
-        if s.open and not s.live and now - s.last > self.idle < self.held:  # Danger: it was dropped unseen.
+        if s.open and not s.live and now - s.last > self.idle < 0.9 * self.held:  # Danger: dropped unseen
             host.close(s.id)
         self.trials -= rpc.accused is not None
         rpc.txs.append(tx)
