--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -44,6 +44,7 @@
 PRIOR = 40.0  # RPCs of each method taken for seen before any is: all nodes begin alike
 LEAST_FREE, SLACK = 0.5, 0.15  # of its points, a server's least for what is not bound; a change that counts
 EASE = 1.5  # times its usual mean answer: from here on the origin is crowded
+STIR = 0x9E3779B97F4A7C15  # Danger: a CRC is linear; seeds and counters that follow one another draw alike.
 FAR = float("inf")
 Place = tuple[bool, float, int, "Rpc"]  # in a line: over share, -gain, arrival
 Places = tuple[str, ...]  # kinds or locations that a method is bound to; none: all are open to it
@@ -156,7 +157,8 @@
 
 class Node:  # one instance: it shares nothing with any other
     def __init__(self, now: float, d: Deployment) -> None:
-        self.now, self.seed, self.draws, self.part = now, d.seed, count(1), 1.0  # part: another has the rest
+        self.now, self.seed, self.draws = now, d.seed, count((d.seed + 1) * STIR, STIR)
+        self.part = 1.0  # another process has the rest
         self.shares, self.mix, self.kinds = dict[str, Share](), dict[str, float](), d.kinds
         self.servers, self.rpcs, self.bans = dict[str, Server](), dict[str, Rpc](), dict[str, None]()
         self.origin, self.ring = None, array("Q")  # a point, and in sixteen bits a cache's place in `caches`
@@ -189,7 +191,9 @@
         self.advice = d.gone_is_advice
         self.boost_most, self.overage_gain = max(1.0, d.overload_factor / 1.5), d.overage_gain
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
+        # How long connections may be idle: by their tariff, or to the server's end; less, where they fail.
         self.held = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else d.conn_idle_ms
+        self.brief = self.held if d.hold_cost > 0 else min(self.held, self.pause)
         self.idle = min(self.idle, self.held)
         self.parts = self.bands = self._bands(dict.fromkeys(self.methods, 1.0))  # parts: as they come in
         self.mix = {name: self.mix.get(name, 0.0) for name in self.methods}
@@ -210,7 +214,7 @@
         for e in entries:
             s = self.servers.get(e.id) or self.servers.setdefault(e.id, Server(e.id))
             started = e.started_ms if e.started_ms > 0 else -FAR
-            if e.state == State.READY and started > s.started:
+            if (e.state == State.READY or self.advice) and started > s.started:
                 self._leave(s, True)
                 s.started, s.failures, s.off = started, 0, False
                 s.answered_at, s.limit = -FAR, min(s.limit, START_LIMIT)
@@ -640,7 +644,7 @@
 
     def _strike(self, s: Server) -> None:
         # Danger: tables full of idle connections, and such as were dropped unseen: all hold them for less.
-        self.idle = max(min(self.held, self.pause), 0.8 * self.idle)
+        self.idle = max(self.brief, 0.8 * self.idle)
         if s is self.origin:  # there is no other: it is asked less, never left
             s.limit = max(s.least, min(s.limit, len(s.live) + 1) * (0.8 if s.live else 0.5))
             return
@@ -833,4 +837,4 @@
             bucket.at, bucket.chain = to, None
 
     def _chance(self) -> float:
-        return crc32(b"%d/%d" % (self.seed, next(self.draws))) / 2**32
+        return crc32(b"%d" % next(self.draws)) / 2**32
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -242,7 +242,8 @@
                 self.bound.add(e.id)
             elif e.state == State.READY:
                 self.bound.discard(e.id)
-        self.node.servers_listed(self.now, kind, entries)
+        if kind != ListKind.FAILED:  # what was told before stands
+            self.node.servers_listed(self.now, kind, entries)
         self.settle()
 
     def arrive(self, key: str = "k", method: str = "", customer: str = "", write: bool = False,
