--- /dev/null
+++ b/hookpitch/members/codec.py
@@ -0,0 +1,79 @@
+"""Members' datagrams, as bytes. No I/O, no clock.
+
+    HKM | format, 1 byte | fleet, 8 bytes | check, 8 bytes | body (msgpack array)
+
+`fleet` is a hash of the fleet's name: another fleet's datagrams are refused unread. `check` is a keyed hash of
+the body; the key is empty now. It finds what was cut or turned on the way, and no forger: the network has to
+be trusted. A sign-in would fill the key, and nothing else would change here. Records and messages are arrays
+that later versions may make longer: what is behind the known fields is skipped. Invariants: `read(write(x))` is
+x; at most `BYTES_MOST` bytes, records that do not fit are left out, the last first; whatever comes, `read`
+raises ValueError or gives a message whose fields have the types and bounds of `state.py`.
+"""
+
+from __future__ import annotations
+
+import struct
+from hashlib import blake2b
+
+import msgspec
+
+from hookpitch.members.state import FACT_MOST, Message, Record, State
+
+MAGIC, FORMAT = b"HKM", 1
+HEAD = struct.Struct(">3sB8s8s")
+BYTES_MOST = 1200
+NAME_MOST = 100
+KINDS = ("probe", "answer", "ask", "news", "digest")
+
+
+class Codec:
+    """Of one fleet."""
+
+    def __init__(self, fleet: str, key: bytes = b"") -> None:
+        self.fleet, self.key = blake2b(fleet.encode(), digest_size=8).digest(), key
+
+    def write(self, m: Message) -> bytes:
+        news = [(r.name, r.address[0], r.address[1], r.incarnation, int(r.state), r.accuser, r.count, r.fact)
+                for r in m.news]  # fmt: skip
+        while True:
+            body = msgspec.msgpack.encode([KINDS.index(m.kind), m.sender, m.number, m.of, m.whole, news])
+            if len(body) + HEAD.size <= BYTES_MOST or not news:
+                return HEAD.pack(MAGIC, FORMAT, self.fleet, self._check(body)) + body
+            news.pop()
+
+    def _check(self, body: bytes) -> bytes:
+        return blake2b(body, digest_size=8, key=self.key).digest()
+
+    def read(self, data: bytes) -> Message:
+        """ValueError says in one word why it is none: foreign, version, torn or wrong."""
+        if len(data) < HEAD.size or len(data) > 65535:
+            raise ValueError("torn")
+        magic, form, fleet, check = HEAD.unpack_from(data)
+        if magic != MAGIC or fleet != self.fleet:
+            raise ValueError("foreign")
+        if form != FORMAT:
+            raise ValueError("version")
+        body = data[HEAD.size :]
+        if self._check(body) != check:
+            raise ValueError("torn")
+        try:
+            kind, sender, number, of, whole, news, *_ = msgspec.msgpack.decode(body)
+            name = lambda x: type(x) is str and 0 < len(x) <= NAME_MOST  # noqa: E731
+            count = lambda x: type(x) is int and 0 <= x < 1 << 62  # noqa: E731
+            records = tuple(
+                Record(n, (h, p), i, State(s), a, c, f)
+                for n, h, p, i, s, a, c, f, *_ in news
+                if _fits(name(n) and name(h) and count(p) and p < 65536 and count(i) and count(c))
+                and _fits(type(a) is str and len(a) <= NAME_MOST and type(f) is bytes and len(f) <= FACT_MOST)
+            )
+            _fits(name(sender) and count(number) and type(of) is str and len(of) <= NAME_MOST)
+            _fits(type(whole) is bool and type(kind) is int and 0 <= kind < len(KINDS))
+        except (msgspec.MsgspecError, ValueError, TypeError) as fault:
+            raise ValueError("wrong") from fault
+        return Message(KINDS[kind], sender, number, of, records, whole)
+
+
+def _fits(holds: bool) -> bool:
+    if not holds:
+        raise ValueError("out of bounds")
+    return True
--- /dev/null
+++ b/hookpitch/members/state.py
@@ -0,0 +1,441 @@
+"""Who is in the fleet, as one member knows it: probes, suspicion, gossip. No I/O, no clock; times in ms are told.
+
+The ground is SWIM (indirect probes, suspicion that its subject refutes, gossip carried by the probes) with
+Lifeguard's three changes (a member that is itself slow trusts itself less; a suspicion ends sooner when others
+confirm it; a suspect is told so by whoever probes it). What was added, and why, is in docs/members.md.
+
+Invariants, asserted where they are cheap and checked by the tests' explorer:
+
+- an incarnation in a record never falls, and only its owner raises one (`_refute`, `_begin`);
+- of two records of one member the one with the higher incarnation goes; of equal ones the worse state
+  (ALIVE < SUSPECTED < DEAD, LEFT): what was told dead at an incarnation does not return at that one;
+- a member is suspected for at least `SUSPECT_MS` of this member's own running time before it is called dead;
+  time in which this member was stopped, or its loop stood, is not counted;
+- at most one probe a period, K indirect ones a probe, and `GOSSIP_MOST` records a datagram, whatever the size.
+
+A caller tells `tick(now)` at `due`, `heard(now, source, message)`, and sends what `out` holds: (address, message).
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from enum import IntEnum
+from math import log, log2
+from zlib import crc32
+
+PERIOD_MS = 500.0  # one probe in each
+DIRECT_MS = 200.0  # for an answer, before others are asked to probe
+INDIRECT = 4  # others that are asked
+SUSPECT_MS = 3300.0  # the shortest suspicion: longer than a pause of 2 s and the refutation's way through 400
+SUSPECT_LONGEST = 2.0  # times as long, where nobody else confirms it
+CONFIRMED = 2  # others that suspect the same; from here on the shortest
+SLOW_MOST = 4  # the most by which a member may trust itself less: times and spans are 1 + this many times as long
+LATE_MS = 250.0  # a tick so much late: this member was stopped, or its loop stands
+REPEAT = 3.0  # times log2 of the fleet that a change is told on
+GOSSIP_MOST = 10  # records in one datagram
+SYNC_MS = (1000.0, 16000.0)  # between two comparisons of all that is known with one other: less where it differs
+SYNC_MOST = 12  # records in each datagram of one
+REACH_MS = 5000.0  # between two tries to reach one that is dead, or a seed, in case a cut has ended
+KEPT_MS = 600000.0  # a dead or left member's record, so that older news of it changes nothing
+FLAPS, FLAP_MS = 3, 60000.0  # so many returns in so long, and a member is held as suspected (`flapping`),
+HELD_MS = 30000.0  # until it has been well for so long
+CLASHES = 3  # that another claims this member's name, before this one falls silent
+QUIET_MS, LONGEST_MS = 1000.0, 5000.0  # a view changes once nothing has changed for so long, or so long at most
+FACT_MOST = 64  # bytes
+FAR = float("inf")
+Address = tuple[str, int]
+
+
+class State(IntEnum):
+    ALIVE = 0
+    SUSPECTED = 1
+    DEAD = 2
+    LEFT = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """What is told of one member. `fact` is the last that its owner hung on it, by `count`."""
+
+    name: str
+    address: Address
+    incarnation: int
+    state: State
+    accuser: str = ""
+    count: int = 0
+    fact: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One datagram: a probe, an answer, a wish that another be probed, news alone, or a digest. `number` ties an
+    answer to its probe; `of` names who is to be probed, or was."""
+
+    kind: str  # probe, answer, ask, news, digest (the number tells of all that its sender knows)
+    sender: str
+    number: int = 0
+    of: str = ""
+    news: tuple[Record, ...] = ()
+    whole: bool = False  # the sender tells all that it knows, and wants to be told
+
+
+@dataclass(slots=True)
+class Member:
+    record: Record
+    since: float  # in this state, by this member's running time
+    accusers: dict[str, None] = field(default_factory=dict)
+    seen: float = 0.0  # when a datagram of its own last came
+    returns: deque[float] = field(default_factory=lambda: deque(maxlen=FLAPS))
+    held: float = -FAR  # as flapping, since
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What users act on: a version, who is in the fleet, and which part of the last full fleet that is."""
+
+    version: int
+    members: tuple[str, ...]
+    part: float
+
+
+@dataclass(slots=True)
+class _Probe:
+    of: str
+    number: int
+    at: float
+    asked: bool = False  # others were asked
+    answered: bool = False
+
+
+class Members:
+    def __init__(self, now: float, name: str, address: Address, seeds: tuple[Address, ...],
+                 chance: Callable[[], float], log: Callable[[str], None] = lambda text: None) -> None:  # fmt: skip
+        self.name, self.address, self.seeds, self.chance, self.log = name, address, seeds, chance, log
+        self.out: list[tuple[Address, Message]] = []
+        self.members: dict[str, Member] = {name: Member(Record(name, address, 1, State.ALIVE), now)}
+        self.counts: dict[str, int] = {}
+        self.slow, self.silent, self.leaving = 0, False, False
+        self._order: list[str] = []
+        self._watched: dict[str, None] = {}  # who is not simply alive
+        self._news: dict[str, int] = {}  # by member: how often its record has been told on
+        self._probe: _Probe | None = None
+        self._wishes: dict[int, tuple[float, Address, int]] = {}  # probes made for others: until, whom to tell
+        self._number = int(chance() * 1e6)
+        self._last, self._stopped = now, 0.0  # the last tick; for how long this member has not run, in all
+        self.due = now + PERIOD_MS * chance()
+        self._sync_at, self._reach_at, self._sync_span = now, now, SYNC_MS[0]
+        self._clashes: deque[float] = deque(maxlen=CLASHES)
+        self._changed_at = self._settled_at = now
+        self._full = 1
+        self.view = View(0, (name,), 1.0)
+
+    # ---- what users see
+
+    def state_of(self, name: str) -> State | None:
+        m = self.members.get(name)
+        return m.record.state if m is not None else None
+
+    def alive(self) -> list[str]:
+        """All that are in the fleet as far as is known, suspects among them: they are not dead yet."""
+        return sorted(n for n, m in self.members.items() if m.record.state <= State.SUSPECTED)
+
+    def digest(self) -> int:
+        """Of all that is known: equal where two members know the same."""
+        known = sorted((n, m.record.incarnation, int(m.record.state), m.record.count)
+                       for n, m in self.members.items())  # fmt: skip
+        return crc32(repr(known).encode())
+
+    def hang(self, fact: bytes) -> None:
+        """A small fact for all to know of this member; the last one goes."""
+        if len(fact) > FACT_MOST:
+            raise ValueError(f"a fact has at most {FACT_MOST} bytes")
+        mine = self.members[self.name]
+        mine.record = replace(mine.record, fact=fact, count=mine.record.count + 1)
+        self._tell(self.name)
+
+    def leave(self, now: float) -> None:
+        """Say goodbye to some, who tell the rest."""
+        self.leaving = True
+        mine = self.members[self.name]
+        mine.record = replace(mine.record, state=State.LEFT)
+        for other in self._some(2 * INDIRECT, ()):
+            self._say(other, Message("news", self.name, news=(mine.record,)))
+
+    # ---- time
+
+    def tick(self, now: float) -> None:
+        """At `due`, or later. Danger: a member that was stopped finds everybody silent: it is the one."""
+        late = now - max(self.due, self._last)
+        if late > LATE_MS:
+            self._count("late")
+            self._stopped += late
+            self.slow = min(SLOW_MOST, self.slow + 1 + int(late / PERIOD_MS))
+            for name in self._watched:
+                self.members[name].since += late
+            if self._probe is not None:
+                self._probe.at += late
+        self._last = now
+        if self.silent or self.leaving:
+            self.due = now + PERIOD_MS
+            return
+        scale = 1 + self.slow
+        probe = self._probe
+        if probe is not None and not (probe.asked or probe.answered) and now >= probe.at + DIRECT_MS * scale:
+            probe.asked = True
+            target = self.members[probe.of].record
+            told = (target,) if target.state == State.SUSPECTED else ()
+            self._say(probe.of, Message("probe", self.name, probe.number, probe.of, told))
+            for other in self._some(INDIRECT, (probe.of,)):
+                self._say(other, Message("ask", self.name, probe.number, probe.of, (target,)))
+        if probe is None or now >= probe.at + PERIOD_MS * scale:
+            if probe is not None and not probe.answered:
+                self.slow = min(SLOW_MOST, self.slow + 1)
+                self._accuse(now, probe.of)
+            self._begin_probe(now)
+        self._wishes = {n: w for n, w in self._wishes.items() if w[0] > now}
+        for name in list(self._watched):
+            m = self.members[name]
+            if m.record.state == State.SUSPECTED and now - m.since >= self._patience(m):
+                self._take(now, replace(m.record, state=State.DEAD, accuser=self.name))
+            elif m.record.state >= State.DEAD and now - m.since > KEPT_MS:
+                del self.members[name], self._watched[name]
+            elif m.held > -FAR and now - m.held > HELD_MS:
+                m.held = -FAR
+                m.returns.clear()
+                self._changed_at = now
+            elif m.record.state == State.ALIVE and m.held == -FAR:
+                del self._watched[name]
+        if now >= self._sync_at:
+            self._sync_span = min(SYNC_MS[1], 2 * self._sync_span)
+            self._sync_at = now + self._sync_span * (0.5 + self.chance())
+            for other in self._some(1, ()):
+                self._say(other, Message("digest", self.name, self.digest()))
+        if now >= self._reach_at:
+            self._reach_at = now + REACH_MS * (0.5 + self.chance())
+            self._reach()
+        self._settle(now)
+        self.due = now + PERIOD_MS / 2
+        if (probe := self._probe) is not None:
+            asks = not (probe.asked or probe.answered)
+            next_ = probe.at + (DIRECT_MS if asks else PERIOD_MS) * (1 + self.slow)
+            self.due = max(now + 1.0, min(next_, now + PERIOD_MS))
+
+    def _begin_probe(self, now: float) -> None:
+        """The next of a round in drawn order, so that each is met once a round."""
+        self._probe = None
+        while True:
+            if not self._order:
+                some = [n for n, m in self.members.items() if n != self.name and m.record.state <= State.SUSPECTED]
+                if not some:
+                    return
+                self._order = sorted(some, key=lambda _: self.chance())
+            name = self._order.pop()
+            m = self.members.get(name)
+            if m is not None and m.record.state <= State.SUSPECTED:
+                break
+        self._number += 1
+        self._probe = _Probe(name, self._number, now)
+        # Danger: a suspect that never hears so cannot refute it: it is told first.
+        told = (m.record,) if m.record.state == State.SUSPECTED else ()
+        self._say(name, Message("probe", self.name, self._number, name, told))
+
+    def _patience(self, m: Member) -> float:
+        """How long a suspicion lasts: longer while few share it, and for a member that trusts itself less."""
+        confirmed = min(CONFIRMED, max(0, len(m.accusers) - 1))
+        spare = 1 - log(confirmed + 1) / log(CONFIRMED + 1)
+        grown = max(1.0, log2(max(2, len(self.members))) / 9)  # SUSPECT_MS is meant for up to 512
+        return SUSPECT_MS * grown * (1 + (SUSPECT_LONGEST - 1) * spare) * (1 + self.slow / 2)
+
+    def _accuse(self, now: float, name: str) -> None:
+        m = self.members.get(name)
+        if m is None or m.record.state > State.SUSPECTED:
+            return
+        self._count("accusations")
+        self._take(now, replace(m.record, state=State.SUSPECTED, accuser=self.name))
+
+    # ---- datagrams
+
+    def heard(self, now: float, source: Address, message: Message) -> None:
+        if self.silent or message.sender == self.name:
+            return
+        sender = self.members.get(message.sender)
+        if sender is not None:
+            sender.seen = now
+        for record in message.news:
+            self._take(now, record)
+        back = sender.record.address if sender is not None and sender.record.address == source else source
+        if message.kind == "probe":
+            if message.of != self.name:  # meant for one that was here before
+                self._count("misdirected")
+                return
+            self._post(back, Message("answer", self.name, message.number, self.name))
+        elif message.kind == "answer":
+            wish = self._wishes.pop(message.number, None)
+            if wish is not None:
+                self._post(wish[1], Message("answer", self.name, wish[2], message.of))
+            probe = self._probe
+            if probe is not None and probe.number == message.number and probe.of == message.of:
+                probe.answered = True
+                self.slow = max(0, self.slow - 1)
+        elif message.kind == "ask":
+            target = self.members.get(message.of)
+            if target is not None and target.record.state <= State.SUSPECTED:
+                self._number += 1
+                self._wishes[self._number] = (now + PERIOD_MS * 2, back, message.number)
+                self._say(message.of, Message("probe", self.name, self._number, message.of))
+        elif message.kind == "digest" and message.number != self.digest():
+            self._sync_span = max(SYNC_MS[0], self._sync_span / 4)
+            self._sync_at = min(self._sync_at, now + self._sync_span * (0.5 + self.chance()))
+            self._all(back, True)
+        if message.whole:
+            self._all(back, False)
+        if sender is None and message.sender not in self.members:
+            self._all(back, True)  # a newcomer that was not told of yet
+        elif sender is not None and sender.record.state >= State.DEAD:
+            # It lives, and does not know what is said of it.
+            self._post(back, Message("news", self.name, news=(sender.record,)))
+
+    def _take(self, now: float, r: Record) -> None:
+        """News of one member, from whomever."""
+        if r.name == self.name:
+            return self._of_me(now, r)
+        m = self.members.get(r.name)
+        if m is None:
+            if r.state >= State.DEAD:
+                self.members[r.name] = Member(r, now)  # so that older news of it changes nothing
+                self._watched[r.name] = None
+                return
+            m = self.members[r.name] = Member(r, now)
+            self._turned(now, m, None)
+            return
+        old = m.record
+        if r.incarnation < old.incarnation:
+            self._count("stale")
+            return
+        if r.incarnation == old.incarnation:
+            if r.state == State.SUSPECTED == old.state and r.accuser not in m.accusers and len(m.accusers) < 8:
+                m.accusers[r.accuser] = None
+                self._tell(r.name, again=True)
+            if r.count > old.count and r.address == old.address:
+                m.record = old = replace(old, fact=r.fact, count=r.count)
+                self._tell(r.name)
+            if r.state <= old.state:
+                return
+            r = replace(r, count=old.count, fact=old.fact)
+        if r.count < old.count and r.address == old.address:
+            r = replace(r, count=old.count, fact=old.fact)
+        m.record = r
+        self._turned(now, m, old)
+
+    def _turned(self, now: float, m: Member, old: Record | None) -> None:
+        r = m.record
+        m.since = now
+        m.accusers = {r.accuser: None} if r.state == State.SUSPECTED else {}
+        if r.state != State.ALIVE:
+            self._watched[r.name] = None
+        if old is None or old.state != r.state:
+            if old is not None and old.state >= State.DEAD and r.state == State.ALIVE:
+                m.returns.append(now)
+                if len(m.returns) == FLAPS and now - m.returns[0] < FLAP_MS and m.held == -FAR:
+                    self._count("flapping")
+                    self.log(f"{r.name} comes and goes: held back for {HELD_MS / 1000:.0f} s")
+                if len(m.returns) == FLAPS and now - m.returns[0] < FLAP_MS:
+                    m.held = now
+                    self._watched[r.name] = None
+            self._count(r.state.name.lower())
+            by = f" by {r.accuser}" if r.accuser else ""
+            self.log(f"{r.name} {r.state.name.lower()}{by}, incarnation {r.incarnation}")
+        self._tell(r.name)
+        self._changed_at = now
+
+    def _of_me(self, now: float, r: Record) -> None:
+        mine = self.members[self.name]
+        if self.leaving:
+            return
+        if r.address != self.address and r.incarnation >= mine.record.incarnation and r.state <= State.SUSPECTED:
+            self._clashes.append(now)
+            if len(self._clashes) == CLASHES and now - self._clashes[0] < 10000.0 and r.address > self.address:
+                # Danger: two members of one name would raise each other's incarnation for ever.
+                self.silent = True
+                self._count("clash")
+                self.log(f"another member is named {self.name}, at {r.address[0]}:{r.address[1]}: this one is silent")
+                return
+        same = (r.incarnation, r.state, r.address) == (mine.record.incarnation, State.ALIVE, self.address)
+        if r.incarnation < mine.record.incarnation or same:
+            return
+        # What is said of this member at its incarnation or a later one, a former process's among it.
+        self._count("refuted")
+        if r.state == State.SUSPECTED:
+            self.slow = min(SLOW_MOST, self.slow + 1)
+        mine.record = replace(mine.record, incarnation=r.incarnation + 1, count=max(mine.record.count, r.count) + 1)
+        self._tell(self.name)
+        # Danger: those who wait for it call this member dead before the gossip has come round.
+        accuser = [r.accuser] if r.accuser in self.members and r.accuser != self.name else []
+        for other in dict.fromkeys(accuser + self._some(2 * INDIRECT, ())):
+            self._say(other, Message("news", self.name, news=(mine.record,)))
+
+    # ---- telling
+
+    def _tell(self, name: str, again: bool = False) -> None:
+        self._news[name] = self._news.get(name, 0) // 2 if again else 0
+
+    def _gossip(self, most: int) -> tuple[Record, ...]:
+        """What was told least often so far; each change about REPEAT x log2 of the fleet times."""
+        if not self._news:
+            return ()
+        limit = REPEAT * log2(len(self.members) + 1)
+        some = sorted(self._news, key=lambda n: (self._news[n], n))[:most]
+        for name in some:
+            self._news[name] += 1
+            if self._news[name] > limit:
+                del self._news[name]
+        return tuple(self.members[n].record for n in some if n in self.members)
+
+    def _say(self, name: str, message: Message) -> None:
+        self._post(self.members[name].record.address, message)
+
+    def _post(self, to: Address, message: Message) -> None:
+        mine = self.members[self.name].record
+        known = {r.name for r in message.news}
+        more = tuple(r for r in self._gossip(GOSSIP_MOST - len(message.news) - 1) if r.name not in known)
+        first = () if self.name in known | {r.name for r in more} else (mine,)
+        self.out.append((to, replace(message, news=(message.news + first + more)[:GOSSIP_MOST])))
+
+    def _all(self, to: Address, whole: bool) -> None:
+        """All that is known, in datagrams of bounded size."""
+        records = [m.record for m in self.members.values()]
+        for at in range(0, len(records), SYNC_MOST):
+            part = tuple(records[at : at + SYNC_MOST])
+            self.out.append((to, Message("news", self.name, news=part, whole=whole and at == 0)))
+
+    def _reach(self) -> None:
+        """One that is dead, or a seed that is not known: a cut may have ended, a fleet may be met."""
+        dead = [m.record.address for m in self.members.values() if m.record.state == State.DEAD]
+        known = {m.record.address for m in self.members.values() if m.record.state <= State.SUSPECTED}
+        far = [a for a in (*self.seeds, *dead) if a not in known]
+        if far:
+            to = far[int(self.chance() * len(far)) % len(far)]
+            self._post(to, Message("news", self.name, whole=True))
+
+    def _some(self, most: int, but: tuple[str, ...]) -> list[str]:
+        some = [n for n, m in self.members.items()
+                if n != self.name and n not in but and m.record.state == State.ALIVE]  # fmt: skip
+        return sorted(some, key=lambda _: self.chance())[:most]
+
+    # ---- the view
+
+    def _settle(self, now: float) -> None:
+        if self._changed_at <= self._settled_at:
+            return
+        if now - self._changed_at < QUIET_MS and now - self._settled_at < LONGEST_MS:
+            return
+        self._settled_at = now
+        who = tuple(n for n in self.alive() if self.members[n].held == -FAR)
+        gone = sum(m.record.state == State.DEAD for m in self.members.values())
+        if who != self.view.members:
+            self.view = View(self.view.version + 1, who, len(who) / max(1, len(who) + gone))
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
