Membership among the nodes: probes, suspicion and gossip, on UDP, off where no section asks for it

Change: hookpitch/members/: state.py (SWIM with Lifeguard's three changes; refutations are sent at once to the accuser and eight more; news is pushed on by each that hears it; digests compared, all told where they differ; incarnations drawn, no clock; clashes of a name; members that come and go are held back; a view that changes once things are quiet), codec.py (1,200 bytes, fleet, version, checksum, later fields skipped), port.py; [members] in the operator's file, MEMBERS at the door, hookpitch members. lab/gossip.py runs state machine and codec at any size; [nodes] members in both clocks.

--- a/hookpitch/__main__.py
+++ b/hookpitch/__main__.py
@@ -46,6 +46,10 @@
         from hookpitch.net.keep import Keeper, in_thread
 
         node.keeper = Keeper(sections["snapshot"], node, partial(in_thread, reactor))
+    if "members" in sections:
+        from hookpitch.members.port import attach
+
+        attach(sections["members"], node)
     # Danger: a signal that comes as soon as the log says "serving" would be lost, or end the node.
     reload = partial(node.reload, partial(anew, os.environ))
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
--- a/hookpitch/cli/__init__.py
+++ b/hookpitch/cli/__init__.py
@@ -5,6 +5,7 @@
 import click
 
 from hookpitch.cli.lab import lab
+from hookpitch.cli.members import members
 from hookpitch.cli.node import check, node
 from hookpitch.cli.snapshot import snapshot
 from hookpitch.cli.standin import standin
@@ -15,5 +16,5 @@
     """A router for fleets of cache servers, and the tools around it."""
 
 
-for command in (node, check, snapshot, standin, lab):
+for command in (node, check, members, snapshot, standin, lab):
     main.add_command(command)
--- a/hookpitch/lab/experiment.py
+++ b/hookpitch/lab/experiment.py
@@ -134,7 +134,8 @@
     """`event_us`: CPU that each event of a node takes, in microseconds of its core. `peer_port`: where nodes
     may talk to one another, TCP and UDP; 0: no links between them. `snapshot_s`: how often each writes what
     it has learned to a disk that lasts; 0: never. `known`: the list that it is told at its start: of
-    now, of yesterday (every server in it is gone) or none."""
+    now, of yesterday (every server in it is gone) or none. `members`: nodes are members of one fleet,
+    by their peer port."""
 
     count: int = 1
     sockets: int = 1024
@@ -143,6 +144,7 @@
     peer_port: int = 0
     debug: bool = True
     snapshot_s: float = 0.0
+    members: bool = False
     known: Literal["now", "yesterday", "none"] = "now"
 
 
@@ -311,6 +313,7 @@
     bad("fleet.kinds", bool(f.fleet.kinds) and "origin" not in f.fleet.kinds, "wants names, not origin")
     bad("nodes.count", 1 <= f.nodes.count <= 1000, "wants 1 to 1000")
     kept = f.nodes.snapshot_s
+    bad("nodes.members", f.nodes.peer_port > 0 or not f.nodes.members, "wants a peer_port")
     bad("nodes.snapshot_s", kept == 0 or 0.5 <= kept <= 3600, "wants 0, or 0.5 to 3600")
     bad("nodes.sockets", f.nodes.sockets >= 64, "wants 64 or more")
     bad("traffic.rate", f.traffic.rate > 0, "wants more than 0")
--- a/hookpitch/lab/gossip.py
+++ b/hookpitch/lab/gossip.py
@@ -1,7 +1,7 @@
 """Members alone in virtual time: their state machines over a network of datagrams with loss, cuts and pauses.
 
-For sizes at which whole nodes would take too long (400), and for the tests' explorer. The state machine and the
-codec are the program's; what they run in is here: one heap of events, a seeded draw, one-way cuts by pair.
+For sizes at which whole nodes would take too long (400), and for the tests. The state machine and the codec
+are the program's; what they run in is here: one heap of events, a seeded draw, one-way cuts by pair.
 """
 
 from __future__ import annotations
--- a/hookpitch/lab/nodes.py
+++ b/hookpitch/lab/nodes.py
@@ -10,6 +10,8 @@
 
 from hookpitch.core.counters import Counters
 from hookpitch.lab.world import Machine
+from hookpitch.members.port import Settings as MemberSettings
+from hookpitch.members.port import attach
 from hookpitch.net.clock import Clock
 from hookpitch.net.keep import Keeper, Settings, done
 from hookpitch.net.node import BACKLOG, SocketNode
@@ -21,6 +23,7 @@
 DISCOVERY_PORT, NODE_PORT, DOOR_PORT = 8500, 6379, 15000
 READY_S = 6.0  # by then a new process beside an old one serves
 LOOK_S = 0.1  # between two looks at whether it does
+SEEDS = 3  # nodes that all others are told
 DISK_S = 0.005  # that a snapshot takes to be written
 ENDED_S = 0.7  # past its longest deadline, an old process is killed
 
@@ -33,7 +36,8 @@
 
     def info(self, event: str, **values: object) -> None:
         if len(self.run.logs) < 10000:
-            self.run.logs.append((self.run.now(), self.name, event))
+            what = f"{event}: {values['what']}" if "what" in values else event
+            self.run.logs.append((self.run.now(), self.name, what))
 
 
 class Node:
@@ -70,6 +74,10 @@
         if run.x.nodes.snapshot_s:
             kept = Settings(f"{run.folder.name}/{{name}}.snapshot", run.x.name, run.x.nodes.snapshot_s)
             self.node.keeper = Keeper(kept, self.node, partial(self._away, reactor))
+        if run.x.nodes.members:
+            port = run.x.nodes.peer_port
+            seeds = tuple((n.address, port) for n in list(run.nodes.values())[:SEEDS])
+            attach(MemberSettings((self.address, port), run.x.name, seeds), self.node)
         self.node.start()
 
     @staticmethod
--- a/hookpitch/lab/processes.py
+++ b/hookpitch/lab/processes.py
@@ -27,6 +27,7 @@
 ENDED_S = 0.7  # past its longest deadline, an old process is killed
 READY_S = 6.0  # by then a new process beside an old one says yes
 LOOK_S = 0.05
+SEEDS = 3  # members that all others are told
 NODE_PORT, DISCOVERY_PORT, DOOR_PORT = 26380, 28500, 25000
 _LIBC = ctypes.CDLL(None, use_errno=True)
 
@@ -144,10 +145,9 @@
         shared = run.folder / f"{self.name}.shared"
         shared.mkdir(exist_ok=True)
         environment = {"PROXY_CONFIG": str(path), "TMPDIR": str(shared)}
-        if run.x.nodes.snapshot_s:
+        if sections := self.sections():
             own = run.folder / f"{self.name}.toml"
-            own.write_text(f'[snapshot]\npath = "{run.folder}/{{name}}.snapshot"\n'
-                           f'fleet = "{run.x.name}"\nevery_s = {run.x.nodes.snapshot_s}\n')  # fmt: skip
+            own.write_text("\n".join(sections) + "\n")
             environment["HOOKPITCH_CONFIG"] = str(own)
         fds = []
         if self.held is not None:
@@ -158,6 +158,23 @@
         self.process, self.node = Process(words, self.log, environment, *fds), self
         run.when_serving(self)
 
+    def sections(self) -> list[str]:
+        """The operator's file, by lines; none where nothing is turned on."""
+        run, x, lines = self.run, self.run.x.nodes, list[str]()
+        if x.snapshot_s:
+            lines += ["[snapshot]", f'path = "{run.folder}/{{name}}.snapshot"', f'fleet = "{run.x.name}"',
+                      f"every_s = {x.snapshot_s}"]  # fmt: skip
+        if x.members:  # each finds another at an address of its own, where a relay listens
+            at = {other: f"{run.nets[other]}.0.1:{x.peer_port}" for other in run.nets}
+            seeds = ", ".join(f'"{address}"' for address in list(at.values())[:SEEDS])
+            lines += ["[members]", f'listen = "{at[self.name]}"', f'fleet = "{run.x.name}"']
+            lines += [f"seeds = [{seeds}]", "[members.dial]"]
+            for other, address in at.items():
+                if other != self.name:
+                    host, port = run.peer(self.name, other)
+                    lines.append(f'"{address}" = "{host}:{port}"')
+        return lines
+
     def told(self) -> dict[str, Any]:
         """Its file."""
         host, door = self.at_door()
--- a/hookpitch/members/__init__.py
+++ b/hookpitch/members/__init__.py
@@ -1,1 +1,1 @@
-"""Membership among the nodes of an installation that allows talk among them. Off, and not imported, elsewhere."""
+"""Membership among nodes, where an installation allows talk among them; off and not imported elsewhere."""
--- a/hookpitch/members/codec.py
+++ b/hookpitch/members/codec.py
@@ -2,12 +2,12 @@
 
     HKM | format, 1 byte | fleet, 8 bytes | check, 8 bytes | body (msgpack array)
 
-`fleet` is a hash of the fleet's name: another fleet's datagrams are refused unread. `check` is a keyed hash of
-the body; the key is empty now. It finds what was cut or turned on the way, and no forger: the network has to
-be trusted. A sign-in would fill the key, and nothing else would change here. Records and messages are arrays
-that later versions may make longer: what is behind the known fields is skipped. Invariants: `read(write(x))` is
-x; at most `BYTES_MOST` bytes, records that do not fit are left out, the last first; whatever comes, `read`
-raises ValueError or gives a message whose fields have the types and bounds of `state.py`.
+`fleet` is a hash of the fleet's name: another fleet's datagrams are refused unread. `check` is a keyed hash
+of the body; the key is empty now. It finds what was cut or turned on the way, and no forger: the network has
+to be trusted. A sign-in would fill the key, and nothing else would change here. Records and messages are
+arrays that later versions may make longer: what is behind the known fields is skipped. Invariants:
+`read(write(x))` is x; at most `BYTES_MOST` bytes, records that do not fit are left out, the last first;
+whatever comes, `read` raises ValueError or gives a message whose fields have the bounds of `state.py`.
 """
 
 from __future__ import annotations
--- a/hookpitch/members/state.py
+++ b/hookpitch/members/state.py
@@ -1,19 +1,20 @@
-"""Who is in the fleet, as one member knows it: probes, suspicion, gossip. No I/O, no clock; times in ms are told.
+"""Who is in the fleet, as one member knows it: probes, suspicion, gossip. No I/O, no clock; times are told.
 
 The ground is SWIM (indirect probes, suspicion that its subject refutes, gossip carried by the probes) with
-Lifeguard's three changes (a member that is itself slow trusts itself less; a suspicion ends sooner when others
-confirm it; a suspect is told so by whoever probes it). What was added, and why, is in docs/members.md.
+Lifeguard's three changes (a member that is itself slow trusts itself less; a suspicion ends sooner when
+others confirm it; a suspect is told so by whoever probes it). What was added, and why: docs/members.md.
 
 Invariants, asserted where they are cheap and checked by the tests' explorer:
 
 - an incarnation in a record never falls, and only its owner raises one (`_refute`, `_begin`);
 - of two records of one member the one with the higher incarnation goes; of equal ones the worse state
   (ALIVE < SUSPECTED < DEAD, LEFT): what was told dead at an incarnation does not return at that one;
-- a member is suspected for at least `SUSPECT_MS` of this member's own running time before it is called dead;
-  time in which this member was stopped, or its loop stood, is not counted;
-- at most one probe a period, K indirect ones a probe, and `GOSSIP_MOST` records a datagram, whatever the size.
+- a member is suspected for at least `SUSPECT_MS` of this member's own running time before it is called dead
+  here; time in which this member was stopped, or its loop stood, is not counted;
+- one probe a period, twice at most, `INDIRECT` wishes a probe, `GOSSIP_MOST` records a datagram, at any size.
 
-A caller tells `tick(now)` at `due`, `heard(now, source, message)`, and sends what `out` holds: (address, message).
+A caller tells `tick(now)` at `due` and `heard(now, source, message)`, and sends what `out` holds: addresses
+with messages. Times are milliseconds.
 """
 
 from __future__ import annotations
@@ -31,19 +32,21 @@
 SUSPECT_MS = 3300.0  # the shortest suspicion: longer than a pause of 2 s and the refutation's way through 400
 SUSPECT_LONGEST = 2.0  # times as long, where nobody else confirms it
 CONFIRMED = 2  # others that suspect the same; from here on the shortest
-SLOW_MOST = 4  # the most by which a member may trust itself less: times and spans are 1 + this many times as long
+SLOW_MOST = 4  # the most by which a member trusts itself less: its times are 1 + this many times as long
 LATE_MS = 250.0  # a tick so much late: this member was stopped, or its loop stands
 REPEAT = 3.0  # times log2 of the fleet that a change is told on
+PUSHED = 2  # members that a change is told at once, by each that hears of it, at its next tick
 GOSSIP_MOST = 10  # records in one datagram
-SYNC_MS = (1000.0, 16000.0)  # between two comparisons of all that is known with one other: less where it differs
+SYNC_MS = (1000.0, 16000.0)  # between two comparisons of all that is known; less where it differs
 SYNC_MOST = 12  # records in each datagram of one
 REACH_MS = 5000.0  # between two tries to reach one that is dead, or a seed, in case a cut has ended
 KEPT_MS = 600000.0  # a dead or left member's record, so that older news of it changes nothing
 FLAPS, FLAP_MS = 3, 60000.0  # so many returns in so long, and a member is held as suspected (`flapping`),
 HELD_MS = 30000.0  # until it has been well for so long
-CLASHES = 3  # that another claims this member's name, before this one falls silent
-QUIET_MS, LONGEST_MS = 1000.0, 5000.0  # a view changes once nothing has changed for so long, or so long at most
+CLASHES, CLASH_MS = 3, 10000.0  # that another claims this member's name in so long: this one falls silent
+QUIET_MS, LONGEST_MS = 1000.0, 5000.0  # a view changes once nothing has for so long, or so long at most
 FACT_MOST = 64  # bytes
+FIRST_MOST = 1000  # incarnations that a process may begin at
 FAR = float("inf")
 Address = tuple[str, int]
 
@@ -70,8 +73,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """One datagram: a probe, an answer, a wish that another be probed, news alone, or a digest. `number` ties an
-    answer to its probe; `of` names who is to be probed, or was."""
+    """One datagram: a probe, an answer, a wish that another be probed, news alone, or a digest. `number` ties
+    an answer to its probe; `of` names who is to be probed, or was."""
 
     kind: str  # probe, answer, ask, news, digest (the number tells of all that its sender knows)
     sender: str
@@ -111,17 +114,19 @@
 
 class Members:
     def __init__(self, now: float, name: str, address: Address, seeds: tuple[Address, ...],
-                 chance: Callable[[], float], log: Callable[[str], None] = lambda text: None) -> None:  # fmt: skip
+                 chance: Callable[[], float], log: Callable[[str], None] = str) -> None:  # fmt: skip
         self.name, self.address, self.seeds, self.chance, self.log = name, address, seeds, chance, log
         self.out: list[tuple[Address, Message]] = []
-        self.members: dict[str, Member] = {name: Member(Record(name, address, 1, State.ALIVE), now)}
+        # After another process under its name it is new, by this draw or by what it is told, by no clock.
+        first = Record(name, address, 1 + int(chance() * FIRST_MOST), State.ALIVE)
+        self.members: dict[str, Member] = {name: Member(first, now)}
         self.counts: dict[str, int] = {}
-        self.slow, self.silent, self.leaving = 0, False, False
+        self.slow, self.silent, self.leaving, self._urgent = 0, False, False, False
         self._order: list[str] = []
         self._watched: dict[str, None] = {}  # who is not simply alive
         self._news: dict[str, int] = {}  # by member: how often its record has been told on
         self._probe: _Probe | None = None
-        self._wishes: dict[int, tuple[float, Address, int]] = {}  # probes made for others: until, whom to tell
+        self._wishes: dict[int, tuple[float, Address, int]] = {}  # probes for others: until, whom to tell
         self._number = int(chance() * 1e6)
         self._last, self._stopped = now, 0.0  # the last tick; for how long this member has not run, in all
         self.due = now + PERIOD_MS * chance()
@@ -215,19 +220,24 @@
         if now >= self._reach_at:
             self._reach_at = now + REACH_MS * (0.5 + self.chance())
             self._reach()
+        if self._urgent:  # Danger: gossip that waits for probes takes longest to the last member.
+            self._urgent = False
+            for other in self._some(PUSHED, ()):
+                self._say(other, Message("news", self.name))
         self._settle(now)
         self.due = now + PERIOD_MS / 2
         if (probe := self._probe) is not None:
             asks = not (probe.asked or probe.answered)
             next_ = probe.at + (DIRECT_MS if asks else PERIOD_MS) * (1 + self.slow)
-            self.due = max(now + 1.0, min(next_, now + PERIOD_MS))
+            self.due = max(now + 1.0, min(next_, self.due))
 
     def _begin_probe(self, now: float) -> None:
         """The next of a round in drawn order, so that each is met once a round."""
         self._probe = None
         while True:
             if not self._order:
-                some = [n for n, m in self.members.items() if n != self.name and m.record.state <= State.SUSPECTED]
+                some = [n for n, m in self.members.items()
+                        if n != self.name and m.record.state <= State.SUSPECTED]  # fmt: skip
                 if not some:
                     return
                 self._order = sorted(some, key=lambda _: self.chance())
@@ -265,6 +275,10 @@
             sender.seen = now
         for record in message.news:
             self._take(now, record)
+            known = sender.record.incarnation if sender is not None else 0
+            if record.name == message.sender and known > record.incarnation:
+                # A new process under that name, which does not know what the one before it had come to.
+                self._post(source, Message("news", self.name, news=(sender.record,)))
         back = sender.record.address if sender is not None and sender.record.address == source else source
         if message.kind == "probe":
             if message.of != self.name:  # meant for one that was here before
@@ -315,7 +329,8 @@
             self._count("stale")
             return
         if r.incarnation == old.incarnation:
-            if r.state == State.SUSPECTED == old.state and r.accuser not in m.accusers and len(m.accusers) < 8:
+            both = r.state == State.SUSPECTED == old.state
+            if both and r.accuser not in m.accusers and len(m.accusers) < 8:
                 m.accusers[r.accuser] = None
                 self._tell(r.name, again=True)
             if r.count > old.count and r.address == old.address:
@@ -348,19 +363,22 @@
             by = f" by {r.accuser}" if r.accuser else ""
             self.log(f"{r.name} {r.state.name.lower()}{by}, incarnation {r.incarnation}")
         self._tell(r.name)
-        self._changed_at = now
+        self._changed_at, self._urgent = now, True
 
     def _of_me(self, now: float, r: Record) -> None:
         mine = self.members[self.name]
         if self.leaving:
             return
-        if r.address != self.address and r.incarnation >= mine.record.incarnation and r.state <= State.SUSPECTED:
+        other = r.address != self.address and r.state <= State.SUSPECTED
+        if other and r.incarnation >= mine.record.incarnation:
             self._clashes.append(now)
-            if len(self._clashes) == CLASHES and now - self._clashes[0] < 10000.0 and r.address > self.address:
+            often = len(self._clashes) == CLASHES and now - self._clashes[0] < CLASH_MS
+            if often and r.address > self.address:
                 # Danger: two members of one name would raise each other's incarnation for ever.
                 self.silent = True
                 self._count("clash")
-                self.log(f"another member is named {self.name}, at {r.address[0]}:{r.address[1]}: this one is silent")
+                at = f"{r.address[0]}:{r.address[1]}"
+                self.log(f"another member is named {self.name}, at {at}: this one is silent")
                 return
         same = (r.incarnation, r.state, r.address) == (mine.record.incarnation, State.ALIVE, self.address)
         if r.incarnation < mine.record.incarnation or same:
@@ -369,7 +387,8 @@
         self._count("refuted")
         if r.state == State.SUSPECTED:
             self.slow = min(SLOW_MOST, self.slow + 1)
-        mine.record = replace(mine.record, incarnation=r.incarnation + 1, count=max(mine.record.count, r.count) + 1)
+        count = max(mine.record.count, r.count) + 1
+        mine.record = replace(mine.record, incarnation=r.incarnation + 1, count=count)
         self._tell(self.name)
         # Danger: those who wait for it call this member dead before the gossip has come round.
         accuser = [r.accuser] if r.accuser in self.members and r.accuser != self.name else []
--- a/hookpitch/net/management.py
+++ b/hookpitch/net/management.py
@@ -28,6 +28,7 @@
 
     def ready(self) -> str: ...
     def figures(self) -> list[tuple[str, int]]: ...
+    def told(self) -> list[str]: ...  # of the members, where it is one
     def suspend(self, id: str) -> str: ...
     def restore(self, id: str) -> str: ...
     def pause(self) -> str: ...
@@ -99,6 +100,9 @@
         name = words[0] if words else b""
         if name == b"METRICS" and len(words) == 1:
             return b"".join(b"svc.%b=%d\n" % (n.encode(), v) for n, v in self.node.figures()) + b"END"
+        if name == b"MEMBERS" and len(words) == 1:
+            lines = self.node.told()
+            return "\n".join([*lines, "END"]).encode() if lines else NO + b" no members here"
         if name in self._plain and len(words) == 1:
             why = self._plain[name]()
         elif name in self._named and len(words) == 2:
@@ -111,5 +115,5 @@
         elif name in self._plain or name == b"METRICS":
             why = f"{name.decode()} takes nothing"
         else:
-            why = "calls are STATUS, METRICS, SUSPEND ID, RESTORE ID, PAUSE, RESUME"
+            why = "calls are STATUS, METRICS, MEMBERS, SUSPEND ID, RESTORE ID, PAUSE, RESUME"
         return NO + b" " + why.encode() if why else YES
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import fields, replace
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from hookpitch.balancer.interface import Entry, ListKind, State
 from hookpitch.core.counters import Counters
@@ -40,6 +40,14 @@
 REPLY_MS = 150.0  # past the longest deadline, for the last answers to be written
 
 
+class Peers(Protocol):
+    """A node's place among the others (`members/port.py`)."""
+
+    def start(self, reactor: Any) -> None: ...  # noqa: ANN401
+    def leave(self) -> None: ...
+    def lines(self) -> list[str]: ...
+
+
 class SocketNode:
     def __init__(self, reactor: Any, clock: Clock, post: Post, counters: Counters,  # noqa: ANN401
                  logger: Any, cpu: Callable[[], float] = time.process_time) -> None:  # noqa: ANN401  # fmt: skip
@@ -65,6 +73,7 @@
         self.door = Door(clock, self, counters.add)
         self.shared: Handover | None = None
         self.phases = Start(clock.now())
+        self.peers: Peers | None = None  # its place among the members, where the operator's file has one
         self.keeper: Keeper | None = None  # of a snapshot, where the operator's file has one
         self.processes, self._look = 1, False  # of this node, as last seen; whether to look again
         self.whole = servers, room, self.host.held.most  # what one process alone may hold
@@ -82,6 +91,8 @@
         if self.keeper is not None:
             self.keeper.recall()
         self.clock.deadlines.add(self.clock.now() + PHASE_MS, self._phase)
+        if self.peers is not None:
+            self.peers.start(self.reactor)
         if self.post.management is not None and self.post.shared:
             self._share()
         if self.post.inherited is None:
@@ -157,6 +168,9 @@
                 ("start_phase", int(self.phases.phase))]  # fmt: skip
         return by_method + more
 
+    def told(self) -> list[str]:
+        return self.peers.lines() if self.peers is not None else []
+
     def suspend(self, id: str) -> str:
         if not self.host.bannable(id):
             return "no such cache server"
@@ -281,6 +295,8 @@
             return
         self.leaving = True
         self.logger.info("leaving")
+        if self.peers is not None:
+            self.peers.leave()
         longest = self.host.patience  # also of RPCs that came under settings of before
         # An inherited socket is heard by another process, or kept until there is one: nothing is refused.
         serve_on = SERVE_ON_MS if self.post.inherited is None else 0.0
--- a/hookpitch/net/operator.py
+++ b/hookpitch/net/operator.py
@@ -7,15 +7,15 @@
 from __future__ import annotations
 
 import tomllib
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from importlib import import_module
 from pathlib import Path
 from typing import Any
 
-from hookpitch.net import keep
-
-# By name: what reads and checks a section; ValueError says what is wrong.
-SECTIONS: dict[str, Callable[[Mapping[str, Any]], Any]] = {"snapshot": keep.settings}
+# By name: what reads and checks a section, `module:function`, imported where a file has it. ValueError says
+# what is wrong.
+SECTIONS = {"snapshot": "hookpitch.net.keep:settings", "members": "hookpitch.members.port:settings"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +42,8 @@
         if not isinstance(table, dict):
             raise ValueError(f"{path}: {name}: wants a section")
         try:
-            sections[name] = SECTIONS[name](table)
+            module, _, function = SECTIONS[name].partition(":")
+            sections[name] = getattr(import_module(module), function)(table)
         except ValueError as fault:
             raise ValueError(f"{path}: {name}.{fault}") from None
     return House(sections)
