--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -1,11 +1,12 @@
 """Many nodes that start at once: experiments hold in virtual time, and what a start costs is counted."""
 
+from collections import Counter
 from pathlib import Path
 
 import pytest
 
 from hookpitch.lab.experiment import load, read
-from hookpitch.lab.figures import Seen, expected, figure
+from hookpitch.lab.figures import Seen, expected, figure, seen
 from hookpitch.lab.run import Ended, Run
 from hookpitch.standin.history import History
 
@@ -20,6 +21,17 @@
     assert not [(e.text, value) for e, value, holds in expected(ended) if not holds]
 
 
+def test_nodes_that_start_into_trouble_do_no_worse_than_those_that_were_there() -> None:
+    x = load(next(f for f in FILES if f.stem == "start-into-trouble"))
+    ended = Run(x, 1).run()
+    starts = Counter(e.who for e in ended.history.events if e.kind == "start")
+    rpcs = [s for s in seen(x, ended.history.events) if s.at > 7000.0]  # they are up again
+    new, old = ([s for s in rpcs if (starts[s.node] > 1) is again] for again in (True, False))
+    assert len(new) > 500 and len(old) > 500
+    served = [figure("served", ended, some, 0.0, x.seconds) for some in (new, old)]
+    assert served[0] >= served[1] - 0.02
+
+
 def test_what_a_start_costs_is_counted_by_second_and_by_node() -> None:
     history = History()
     for at in (1000.0, 1300.0, 1999.0, 2000.0):
