--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -173,7 +173,7 @@
         self.asked, self.turned, self.pressure, self.shed = 1, 0, 0.0, 0.0  # shed: turned away at the door
         self.burden, self.lag, self.away_at, self.boost = 0.0, 0.0, -FAR, 1.0  # the node's own; of the cold
         self.flow, self.typical = dict[str, float](), 0.0  # work lately asked for; its unit in ms
-        self.trials, self.idle = TRIALS, FAR  # second opinions on an error; how long a connection may be idle
+        self.trials, self.idle, self.ramp = TRIALS, 0.0, 1.3  # second opinions; how long one may be idle
         self.reconfigured(now, d)
         self.next_beat, self.next_round = now + self.window, now + ROUND_MS * (1 + self._chance())
 
@@ -192,7 +192,7 @@
         self.cold_share, self.cold_ms, self.window = d.cold_share, d.cold_ms, d.tip_after_ms or 1000.0
         self.held = self.pause * d.dial_cost / d.hold_cost if d.hold_cost > 0 else d.conn_idle_ms
         self.brief = self.held if d.hold_cost > 0 else min(self.held, self.pause)
-        self.idle = min(self.idle, self.held)
+        self.idle = min(max(self.idle, self.brief), self.held)  # Danger: who came first keeps tables full
         self.parts = self.bands = self._bands(dict.fromkeys(self.methods, 1.0))  # parts: as they come in
         self.mix = {name: self.mix.get(name, 0.0) for name in self.methods}
         self.flow = {name: self.flow.get(name, 0.0) for name in self.methods}
@@ -644,7 +644,7 @@
 
     def _strike(self, s: Server) -> None:
         # Danger: tables full of idle connections, and such as were dropped unseen: all hold them for less.
-        self.idle = max(self.brief, 0.8 * self.idle)
+        self.idle, self.ramp = max(self.brief, 0.8 * self.idle), 1.05
         if s is self.origin:  # there is no other: it is asked less, never left
             s.limit = max(s.least, min(s.limit, len(s.live) + 1) * (0.8 if s.live else 0.5))
             return
@@ -787,7 +787,7 @@
         now, span, self.beat_at = self.now, max(self.now - self.beat_at, 1.0), self.now
         self.next_beat = now + self.window
         late, asked, self.asked, self.turned = self.turned / self.asked, self.asked, 1, 0
-        self.pressure, self.idle = max(late, self.pressure / 2), min(self.held, 1.05 * self.idle)
+        self.pressure, self.idle = max(late, self.pressure / 2), min(self.held, self.ramp * self.idle)
         # Danger: more than the fleet can do, from nodes that never fill a server, is late as a whole.
         self.shed = min(0.9, max(0.0, self.shed + (late / 4 if late > SHED_FROM else -SHED_FROM / 4)))
         for s in self.servers.values():
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -82,11 +82,31 @@
 def test_idle_connections_are_closed_where_they_cost() -> None:
     for cost, closed in ((0.03, True), (0.0, False)):
         f = node(300, hold_cost=cost, dial_cost=0.03)
+        f.pass_time(60000.0)  # without a tariff a node begins by holding them briefly
         f.end(f.arrive("k"), Outcome.COMPLETED)
         f.pass_time(9000.0)
         assert bool(f.closed) == closed
 
 
+def test_where_holding_costs_nothing_connections_are_held_ever_longer_until_some_fail() -> None:
+    f = node(300)
+    begun = f.node.idle
+    assert begun == f.node.brief < f.node.held / 10
+    f.pass_time(60000.0)
+    assert f.node.idle == f.node.held
+    for n in range(30):
+        rpc = f.arrive(f"k{n}")
+        if f.txs[rpc]:
+            f.end(rpc, Outcome.RESET)
+        f.pass_time(200.0)
+    assert f.node.idle < f.node.held / 2
+    after = f.node.idle
+    f.pass_time(6000.0)
+    assert after < f.node.idle < 1.5 * after  # and from then on slowly
+    f.node.reconfigured(f.now, f.d)
+    assert f.node.idle < f.node.held
+
+
 def test_overload_sheds_the_least_gain_first_and_stops_when_it_is_over() -> None:
     dear, cheap = Method("dear", 400.0, 1000.0, 5.0), Method("cheap", 400.0, 1000.0, 1.0)
     f = node(300, methods=(dear, cheap))
