Tests for four hard cases of placement's issue that had none; one shows a gap

Found: from the second fall on one refusal takes a server off and its cold time is not begun anew (more than half of a warm one's part at its second return): on the roadmap, not mended here.

--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -126,20 +126,73 @@
     assert o.limit >= at_origin
 
 
-def test_load_measured_goes_before_load_told_and_true_reports_are_heeded_again() -> None:
+def ended(f: Fleet, key: str, took: dict[str, float], told: dict[str, float]) -> None:
+    """An RPC that its server answers after its time, with what that server says it holds."""
+    rpc = f.arrive(key)
+    s, n = last(f, rpc), len(f.txs[rpc]) - 1
+    f.pass_time(took.get(s, 4.0))
+    f.out.remove((rpc, n))
+    f._final(rpc, "completed")
+    report = {"inflight": told.get(s, 0.5)}
+    f.node.tx_ended(f.now, rpc, n, Outcome.COMPLETED, True, f.now - f.txs[rpc][n]["at"], report)
+    f.settle()
+
+
+@pytest.mark.parametrize("errors", [False, True])
+def test_load_measured_goes_before_load_told_and_true_reports_are_heeded_again(errors: bool) -> None:
     f = fleet(3, nodes=2)
-    for i in range(400):
-        rpc = f.arrive(f"k{i % 60}")
-        s = last(f, rpc)
-        f.pass_time(60.0 if s == "s1" else 4.0)
-        n = len(f.txs[rpc]) - 1
-        f.out.remove((rpc, n))
-        f._final(rpc, "completed")
-        told = {"inflight": 0.1 if s == "s1" else 0.5}  # the slow one says that it idles
-        f.node.tx_ended(f.now, rpc, n, Outcome.COMPLETED, True, f.now - f.txs[rpc][n]["at"], told)
-        f.settle()
+    for i in range(400):  # the slow one says that it idles; RPCs that fail anywhere may come on top
+        if errors and i % 2 == 0:
+            assert fail(f, f.arrive(f"bad{i}")) <= 2
+        ended(f, f"k{i % 60}", {"s1": 60.0}, {"s1": 0.1})
     by = {s.id: s.c for s in f.node.caches}
     assert by["s1"] == max(by.values())
+    assert not any(s.off or s.failures for s in f.node.caches)
+    for i in range(600):  # now all tell the truth, and another one is busy with what other nodes send
+        ended(f, f"k{i % 60}", {"s2": 1.0}, {"s2": 9.0})  # its answers alone would not tell
+    by = {s.id: s.c for s in f.node.caches}
+    assert by["s2"] == max(by.values()) > by["s1"]
+
+
+def test_a_district_whose_rpcs_all_fail_strikes_no_server_and_costs_the_others_nothing() -> None:
+    f = fleet(customers=(Customer("bad", 1000.0), Customer("good", 1000.0)), max_retry_after_ms=400.0)
+    for i in range(200):
+        assert fail(f, f.arrive(f"b{i}", customer="bad")) <= 2
+        rpc = f.arrive(f"g{i}", customer="good")
+        f.end(rpc, Outcome.COMPLETED)
+        assert f.answers[rpc] == "completed"
+        f.pass_time(5.0)
+    assert not any(s.off or s.failures for s in f.node.servers.values())
+    assert not any(to == "o1" for _, to, _ in f.sends)
+
+
+def test_half_of_a_rack_up_and_down_by_turns_with_a_silent_list_is_not_marked_for_good() -> None:
+    f = fleet(6, nodes=1, cold_ms=20000.0, max_transmissions=3)
+    rack, wasted = {"s0", "s1"}, []
+    for turn in range(6):
+        tried = 0
+        for i in range(150):  # down for 1.5 s: dials are refused; the list says nothing
+            rpc = f.arrive(f"k{(turn * 150 + i) % 200}")
+            while (rpc, n := len(f.txs[rpc]) - 1) in f.out:
+                down = last(f, rpc) in rack
+                tried += down
+                f.end(rpc, Outcome.CONNECT_FAILED if down else Outcome.COMPLETED, n)
+            f.pass_time(10.0)
+        wasted.append(tried)
+        assert all(f.node.servers[s].off and f.node.servers[s].cold_until > f.now for s in rack)
+        assert not any(s.off for s in f.node.caches if s.id not in rack)  # the rest is not blamed
+        sent = len(f.sends)
+        for i in range(150):  # up for 1.5 s, cold, unannounced
+            f.end(f.arrive(f"k{i % 200}"), Outcome.COMPLETED)
+            f.pass_time(10.0)
+        back = [to for _, to, _ in f.sends[sent:]]
+        if not turn:  # less than half of a warm one's part; later falls: docs/ROADMAP.md
+            assert all(back.count(s) < 0.5 * len(back) / 6 for s in rack)
+    assert max(wasted[1:]) <= wasted[0] // 2  # one RPC a server and turn, three at first
+    for i in range(4000):  # the turns are over: nobody is marked for good
+        f.end(f.arrive(f"k{i % 200}"), Outcome.COMPLETED)
+        f.pass_time(10.0)
+    assert all(f.node.servers[s].ok for s in rack)
 
 
 def test_a_deduped_rpc_is_not_called_off_when_it_may_not_go_out_again() -> None:
