Servers and the origin are told of the time that is left when a transmission is begun

Cause: net/origin.py passed the client's names and values on as they came, its `d` among them, and nearly every further transmission goes to the origin after a miss. And core/host.py told caches what was left at the decision, not at the write: up to the time of a dial too much. Ruled out: the caches' `d` as such (300 to 400 of 400 ms). Change: Tx.extras(now), used by both, counted from the moment of writing.

--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -68,9 +68,10 @@
         self.carrier: object | None = None  # the pool in which it waits, or the connection that it is on
         self.written = self.done = False  # written: maybe
 
-    def extras(self) -> bytes:
+    def extras(self, now: float) -> bytes:
         """The RPC's names and values, with how long this node will wait from now on."""
-        wait = b"d=%d" % max(1, int(self.until - self.sent))
+        # Danger: a server that is told of more time than is left works on for nobody.
+        wait = b"d=%d" % max(1, int(self.until - now))
         pairs = [wait if p[:2] == b"d=" else p for p in self.rpc.extras.split(b",") if p]
         return b",".join(pairs if wait in pairs else [*pairs, wait])
 
--- a/hookpitch/net/caches.py
+++ b/hookpitch/net/caches.py
@@ -127,7 +127,7 @@
 
     def request(self, tx: Tx) -> Sequence[bytes]:
         rpc = tx.rpc
-        words = (rpc.command, rpc.key, rpc.id, tx.extras())
+        words = (rpc.command, rpc.key, rpc.id, tx.extras(self.pool.pools.clock.now()))
         if rpc.value is None:
             return (command(*words),)
         if isinstance(rpc.value, Pieces):
--- a/hookpitch/net/origin.py
+++ b/hookpitch/net/origin.py
@@ -28,7 +28,8 @@
     def request(self, tx: Tx) -> Sequence[bytes]:
         rpc, write = tx.rpc, tx.rpc.value is not None
         host, port = self.pool.address
-        headers = [("Host", f"{host}:{port}"), ("X-Request-Id", rpc.id), ("X-Extras", rpc.extras)]
+        extras = tx.extras(self.pool.pools.clock.now())
+        headers = [("Host", f"{host}:{port}"), ("X-Request-Id", rpc.id), ("X-Extras", extras)]
         if write:
             headers.append(("Content-Length", str(len(rpc.value))))
         request = h11.Request(method="PUT" if write else "GET", target="/" + quote(rpc.key, safe=""),
