From call to call for lists at most 4.5 s pass, so that a change is in within 6 s

Cause: a call that hung was given up after half of the time for asking (5 s of 10), and then a wait of up to one and a half times that followed, as after a refusal that came at once: over 6 s, and without bound for more nodes or a longer time for asking. A hint of discovery was heeded up to twice the time for asking. Change: startup/asking.py counts from the beginning of a call; 3.2 s of patience with it (a service that is asked too much answers by 3 s), 4.5 s to the next, first calls within 4.5 s. A silent watch spreads over 1 s, not 1.5.

--- a/hookpitch/startup/asking.py
+++ b/hookpitch/startup/asking.py
@@ -5,18 +5,23 @@
 span follows from two things that a node knows: how many nodes there are (told), and how often in a row
 discovery has failed it (seen). A list of before serves meanwhile.
 
-Bounds, for N nodes and W = the time within which a node has to ask (told), with S = min(W/2, N x EACH):
-
-- first calls are spread over W/2 x (1 - 1/N): N / (W/2) a second in the mean; over S where the list of before
-  has nobody who serves;
-- a call after a failed one comes half to one and a half times max(W/20, S) later, twice that after each
-  further failure, and never later than 1.5 times max(W/4, 2 S) <= 1.5 W: rules that count from the last
-  call give 4 W after a failed one;
-- a watch that was lost after it had served is asked for anew over S, one that fell silent over SILENT at the
-  most: rules that count from silence leave little time;
-- a call that is not answered within W/2 has failed.
-
-A refusal that says when to come back is heeded, up to W. Source of the rules: the platform's protocol pages.
+What goes before all else: a change counts as told `TOLD_MS` after discovery had it and could be reached,
+and what a silent watch misses so long after it fell silent. So from call to call no more than `NEXT_MS`
+pass, and what is left of `TOLD_MS` is for the answer.
+
+Bounds, for N nodes and W = the time within which a node has to ask (told), with S = min(W/2, N x EACH, NEXT):
+
+- first calls are spread over min(W/2, NEXT) x (1 - 1/N); over S where nobody in the list of before serves;
+- a call after a failed one comes a third to the whole of 1.5 x max(W/20, S) later, twice that after each
+  further failure, never more than 1.5 x max(W/4, 2 S); and never later than NEXT after the one before began,
+  but for SPREAD after one that was long in failing;
+- a watch that was lost after it had served is asked for anew over S, one that fell silent over SPREAD at the
+  most, as QUIET has gone by already;
+- a call that is not answered within min(W/2, PATIENCE) has failed.
+
+What this gives up: N nodes that are refused call N / (2/3 NEXT) times a second in the mean, where the span
+would grow without NEXT. A refusal that says when to come back is heeded, up to NEXT. Source of the rules: the
+platform's protocol pages.
 """
 
 from __future__ import annotations
@@ -25,7 +30,12 @@
 from enum import IntEnum
 
 EACH_MS = 50.0  # of a span, for each node: twenty calls a second over the fleet
-SILENT_MS = 1500.0  # the widest span after a watch that fell silent
+TOLD_MS = 6000.0  # after discovery had a change and could be reached, it counts as told
+NEXT_MS = 4500.0  # from the beginning of one call to that of the next, where nothing has served
+PATIENCE_MS = 3200.0  # with a call that is not answered; a service that is asked too much answers by 3 s
+QUIET_MS = 3000.0  # half as long again as between two beats: a watch that says nothing for longer is lost
+SPREAD_MS = 1000.0  # the widest span after a watch that fell silent, or a call that was long in failing
+AGAIN_MS = 1500.0  # the widest span of nodes that go on after they were stopped
 LATE_MS = 500.0  # a node so late with its call was stopped, or is very busy
 FAR = float("inf")
 
@@ -41,13 +51,14 @@
 class Asking:
     """One node's calls. `at`: when the next is due, in ms of the host's clock; FAR while a watch is open."""
 
-    __slots__ = ("at", "failures", "_within", "_nodes", "_chance", "_served", "_hurried")
+    __slots__ = ("at", "failures", "_within", "_nodes", "_chance", "_served", "_hurried", "_began")
 
     def __init__(self, now: float, nodes: int, within_ms: float, chance: Callable[[], float]) -> None:
         """`nodes`: over the fleet, as told. `within_ms`: a node has to ask so often. `chance`: a draw."""
         self._nodes, self._within, self._chance = max(1, nodes), within_ms, chance
         self.failures, self._served, self._hurried = 0, False, False
-        self.at = now + within_ms / 2 * (1 - 1 / self._nodes) * chance()
+        self._began = now  # the latest call
+        self.at = now + min(within_ms / 2, NEXT_MS) * (1 - 1 / self._nodes) * chance()
 
     def retimed(self, nodes: int, within_ms: float) -> None:
         """New settings; what is due stays due."""
@@ -56,14 +67,19 @@
     @property
     def span(self) -> float:
         """Over which the whole fleet may ask once, in ms."""
-        return min(self._within / 2, self._nodes * EACH_MS)
+        return min(self._within / 2, self._nodes * EACH_MS, NEXT_MS)
+
+    @property
+    def patience(self) -> float:
+        """With a call that is not answered, in ms."""
+        return min(self._within / 2, PATIENCE_MS)
 
     def due(self, now: float) -> bool:
         """Whether to ask now. Danger: nodes that were all stopped find their times past, and ask together as
         they go on: those draw anew, once."""
         if now < self.at + LATE_MS:
             return now >= self.at
-        self.at = now + min(self.span, SILENT_MS) * self._chance()
+        self.at = now + min(self.span, AGAIN_MS) * self._chance()
         return False
 
     def hurried(self, now: float) -> bool:
@@ -79,7 +95,7 @@
 
     def asked(self, now: float) -> None:
         """The call is made."""
-        self._served = False
+        self._served, self._began = False, now
         self.at = now + self._within / 2  # no answer by then: ask again
 
     def told(self) -> None:
@@ -91,13 +107,17 @@
         if how == Loss.REFUSED or not self._served:
             first = max(self._within / 20, self.span)
             most = max(self._within / 4, 2 * self.span)
-            wait = min(most, first * 2**min(self.failures, 16)) * (0.5 + self._chance())
+            widest = 1.5 * min(most, first * 2**min(self.failures, 16))
             self.failures += 1
+            if after_ms > 0:
+                widest = max(widest, 2 * min(after_ms, self._within))
+            # Danger: a call that hung, and then a wait as after one that was refused at once.
+            widest = max(min(widest, self._began + NEXT_MS - now), min(widest, SPREAD_MS))
+            least = max(widest / 3, min(after_ms, widest * 2 / 3))  # all at once at its end is no better
         else:
             # Danger: all watches end at once, and the one who asks first is no better off than the last.
             least = self._within / 40
-            widest = min(self.span, SILENT_MS) if how == Loss.SILENT else self.span
-            wait = least + max(least, widest) * self._chance()
+            widest = least + max(least, min(self.span, SPREAD_MS if how == Loss.SILENT else NEXT_MS - least))
         self._served = False
-        self.at = now + max(wait, min(after_ms, self._within) * (1 + self._chance()) if after_ms > 0 else 0.0)
+        self.at = now + least + (widest - least) * self._chance()
         return self.at
