What waits for a dial is decided anew when its server or its window is over

Cause, from reading net/caches.py and confirmed on real sockets: a dial that came up late began what waited, though its server had been told to drain, gone, moved, started anew or been banned meanwhile (rules 3 and 4), or its servers had forgotten the first transmission (rule 2: only the decision was within the window). A dial that came up with bytes on it was dropped, and what waited had no dial left and waited to its end. Without cancelling, what waited was begun for a client that had gone. A closing connection was counted as room; an answer without an end was reset a turn after the next transmission went out. Change: Pool.stop() ends dials and has what waits decided anew, after the list is known; Tx.begin_by, told by the decisions (Node._again_until); Pool._lacking(); room and resets in the same turn.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -509,10 +509,10 @@
         return None
 
     def _send(self, rpc: Rpc, s: Server, host: Host) -> None:
-        now, tx, rpc.live = self.now, Tx(rpc, s, len(rpc.txs), self.now), rpc.live + 1
+        now, tx, again = self.now, Tx(rpc, s, len(rpc.txs), self.now), self._again_until(rpc)
         if s.open and not s.live and now - s.last > self.idle < 0.9 * self.held:  # Danger: dropped unseen
             host.close(s.id)
-        self.trials -= rpc.accused is not None
+        self.trials, rpc.live = self.trials - (rpc.accused is not None), rpc.live + 1
         rpc.txs.append(tx)
         s.live[tx] = None
         s.sent, s.open, s.last, s.tokens = s.sent + 1, True, now, s.tokens - (now < s.cold_until)
@@ -520,24 +520,23 @@
         usual = min(2 * self.work / s.size, COPY_BY * soft) if self.copies else 4 * s.latency
         usual *= not (self.copies and s.failures)
         heapq.heappush(self.wakes, (now + max(PATIENCE * soft, usual), next(self.draws), rpc, tx))
-        host.send(rpc.id, s.id, rpc.until - now)
+        host.send(rpc.id, s.id, rpc.until - now, again - now)
 
     def _open(self, to: Bucket | Method, s: Server) -> bool:  # placement; no kind or zone listed: fits none
         if to.kinds and (self.kinds[s.kind] if 0 <= s.kind < len(self.kinds) else "") not in to.kinds:
             return s is self.origin
         return not to.zones or s.zone in to.zones or s is self.origin
 
+    def _again_until(self, rpc: Rpc) -> float:  # rule 2: by then a further transmission has to be begun
+        kind = rpc.method.idempotency  # none of these is zero but RETRIABLE
+        ran = next((tx.sent for tx in rpc.txs if tx.ran and kind), FAR)
+        return ran + rpc.method.window_ms - self.margin if kind <= Idempotency.DEDUPED or ran == FAR else -FAR
+
     def _may_send(self, rpc: Rpc, s: Server) -> bool:  # placement; rule 2, for a further transmission
-        if not self._open(rpc.method, s):
-            return False
-        kind, ran = rpc.method.idempotency, next((tx for tx in rpc.txs if tx.ran), None)
-        if kind == Idempotency.RETRIABLE or ran is None:
-            return True
         # Danger: an effect carried out twice. Only servers that drop repeats, and only while they remember.
-        group, a = rpc.method.group, ran.server
-        alike = s is a or group == "all" or (s.zone == a.zone if group == "zone" else s.cell == a.cell)
-        remembered = self.now < ran.sent + rpc.method.window_ms - self.margin
-        return kind == Idempotency.DEDUPED and alike and remembered
+        m, a = rpc.method, next((tx.server for tx in rpc.txs if tx.ran and rpc.method.idempotency), s)
+        alike = s is a or m.group == "all" or (s.zone == a.zone if m.group == "zone" else s.cell == a.cell)
+        return alike and self._open(m, s) and self.now < self._again_until(rpc)
 
     def _give_up(self, rpc: Rpc, host: Host) -> bool:
         if rpc.live:  # what is still out may answer
@@ -670,10 +669,8 @@
         s.cold_until = since + self.cold_ms
 
     def _abandon(self, tx: Tx) -> None:  # call it off where another server may still answer in time
-        rpc, kind = tx.rpc, tx.rpc.method.idempotency
-        until = rpc.txs[0].sent + rpc.method.window_ms - 2 * self.margin  # Danger: it may not go out again.
-        past = self.now >= until if kind == Idempotency.DEDUPED else kind == Idempotency.NON_RETRIABLE
-        if rpc.closed or len(rpc.txs) >= self.max_txs or past:
+        rpc = tx.rpc  # Danger: it may not go out again.
+        if rpc.closed or len(rpc.txs) >= self.max_txs or self.now >= self._again_until(rpc) - self.margin:
             return
         if self.copies and not tx.slow:  # Danger: called off, what is only slow has run for nothing
             tx.slow, rpc.slow = True, rpc.slow + 1
--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -39,6 +39,7 @@
     def carry(self, now: float, tx: Tx) -> bool: ...  # False where no connection can be had
     def call_off(self, now: float, tx: Tx) -> None: ...
     def close_idle(self, server: str) -> None: ...
+    def stop(self, server: str) -> None: ...  # nothing new may be sent to it
     def listed(self, kind: ListKind, entries: Sequence[Entry], dials: Mapping[str, str]) -> None: ...
 
 
@@ -61,10 +62,11 @@
 class Tx:
     """One transmission of an RPC."""
 
-    __slots__ = ("rpc", "n", "server", "sent", "until", "carrier", "written", "done")
+    __slots__ = ("rpc", "n", "server", "sent", "until", "begin_by", "carrier", "written", "done")
 
-    def __init__(self, rpc: Rpc, n: int, server: str, sent: float, until: float) -> None:
+    def __init__(self, rpc: Rpc, n: int, server: str, sent: float, until: float, begin_by: float) -> None:
         self.rpc, self.n, self.server, self.sent, self.until = rpc, n, server, sent, until
+        self.begin_by = begin_by  # later it is not begun any more
         self.carrier: object | None = None  # the pool in which it waits, or the connection that it is on
         self.written = self.done = False  # written: maybe
 
@@ -265,8 +267,9 @@
             self._answer(rpc, b"-ERR failed\r\n", "errored")
         self.node.client_left(now, str(rpc.number))
         stop = self.deployment.cancelling or rpc.stream is not None
-        for tx in rpc.txs if not rpc.open and stop else ():
-            if not tx.done:
+        for tx in rpc.txs if not rpc.open else ():
+            # Danger: what only waits for a dial would be begun for nobody once that comes up.
+            if not tx.done and (stop or not tx.written):
                 self.carrier.call_off(now, tx)
                 self.tx_over(now, tx, Outcome.CANCELLED)
         self._free(rpc)
@@ -276,8 +279,13 @@
         self.counters.add(f"lists.{kind.name.lower()}")
         if kind == ListKind.FAILED:  # what was told before stands
             return
-        self.carrier.listed(kind, entries, dials)
-        self.node.servers_listed(now, kind, entries)
+        # Danger: what waited for a dial is decided anew by the list of before.
+        deciding, self._deciding = self._deciding, True
+        try:
+            self.carrier.listed(kind, entries, dials)
+            self.node.servers_listed(now, kind, entries)
+        finally:
+            self._deciding = deciding
         self.decide(now)
 
     def reconfigured(self, now: float, deployment: Deployment) -> None:
@@ -293,7 +301,7 @@
         """An operator leaves a server out, or takes it back."""
         self.node.server_banned(now, id, banned)
         if banned:
-            self.carrier.close_idle(id)
+            self.carrier.stop(id)
         self.decide(now)
 
     def bannable(self, id: str) -> bool:
@@ -325,13 +333,13 @@
 
     # ---- decisions
 
-    def send(self, rpc_id: str, server_id: str, limit_ms: float) -> None:
+    def send(self, rpc_id: str, server_id: str, limit_ms: float, begin_ms: float) -> None:
         rpc = self.rpcs.get(int(rpc_id))
         self.counters.must(rpc is not None and rpc.open, "nothing is sent for an RPC that is over")
         if rpc is None:
             return
         until = min(self.now + limit_ms, rpc.hard)
-        tx = Tx(rpc, len(rpc.txs), server_id, self.now, until)
+        tx = Tx(rpc, len(rpc.txs), server_id, self.now, until, self.now + begin_ms)
         rpc.txs.append(tx)
         rpc.live += 1
         self.counters.add("tx.sent")
--- a/hookpitch/net/caches.py
+++ b/hookpitch/net/caches.py
@@ -85,7 +85,8 @@
         if reuse and not self.waiting:
             self.pool.free(self)
         else:
-            self.transport.abortConnection()
+            # Danger: an answer without an end is out as long as its connection, beside the next copy.
+            self.abort_now()
         if tx is None:
             return
         age = self.age() if not self.lost else 0.0
@@ -183,7 +184,9 @@
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self.connection: Connection | None = None
+        self.connector: Any = None
         self.deadline: Deadline | None = None
+        self.vain = False  # given up, as nothing is to be sent there any more
 
     def buildProtocol(self, addr: Any) -> Connection:  # noqa: ANN401, N802
         self.connection = self.pool.connect(self.pool)
@@ -205,7 +208,7 @@
         self.dials: dict[_Dial, None] = {}
         self.expiry: Deadline | None = None
         self.started = 0.0
-        self.retired = False  # the server lives elsewhere now
+        self.retired = False  # the server lives elsewhere now, drains or has gone: nothing is kept for it
 
     def carry(self, tx: Tx) -> bool:
         while self.idle:
@@ -236,9 +239,9 @@
         pools.host.counters.add("dials")
         dial = _Dial(self)
         self.dials[dial] = None
-        connector = pools.reactor.connectTCP(*self.address, dial, timeout=None)
+        dial.connector = pools.reactor.connectTCP(*self.address, dial, timeout=None)
         until = pools.clock.now() + pools.dial_ms
-        dial.deadline = pools.clock.deadlines.add(until, lambda _: connector.disconnect())
+        dial.deadline = pools.clock.deadlines.add(until, lambda _: dial.connector.disconnect())
         return True
 
     def dial_over(self, dial: _Dial, up: bool, outcome: Outcome = Outcome.CONNECT_FAILED) -> None:
@@ -249,10 +252,14 @@
             return
         pools.held -= 1
         own = outcome != Outcome.CONNECT_FAILED
-        pools.host.counters.add("dials.no_descriptor" if own else "dials.failed")
-        if len(self.waiting) > len(self.dials):
-            tx = self.waiting.popleft()
-            pools.host.tx_over(pools.clock.now(), tx, outcome)
+        how = "given_up" if dial.vain else "no_descriptor" if own else "failed"
+        pools.host.counters.add(f"dials.{how}")
+        self._lacking(outcome)
+
+    def _lacking(self, outcome: Outcome) -> None:
+        """What waits and has no dial any more is over, the first of it first."""
+        while len(self.waiting) > len(self.dials):
+            self.pools.host.tx_over(self.pools.clock.now(), self.waiting.popleft(), outcome)
 
     def made(self, connection: Connection) -> None:
         dial = next(d for d in self.dials if d.connection is connection)
@@ -264,7 +271,9 @@
             return
         if self.waiting:  # what waits has a dial of its own, too
             if self._clean(connection):
-                connection.begin(self.waiting.popleft())
+                self._begin(connection)
+            # Danger: what waits for a connection that came up with bytes on it waits for nothing.
+            self._lacking(Outcome.CONNECT_FAILED)
         elif self.retired:
             connection.transport.loseConnection()
         else:
@@ -272,6 +281,29 @@
             self.idle.append(connection)
             self._expire()
 
+    def _begin(self, connection: Connection) -> None:
+        """The first in line that may still be begun."""
+        now = self.pools.clock.now()
+        while self.waiting:
+            tx = self.waiting.popleft()
+            if now < tx.begin_by:
+                return connection.begin(tx)
+            # Danger: rule 2. It was within the time in which its servers know repeats when it was decided on.
+            self.pools.host.counters.add("tx.begun_too_late")
+            self.pools.host.tx_over(now, tx, Outcome.MOOT)
+        self.free(connection)
+
+    def stop(self) -> None:
+        """Nothing new may be sent there: what waits is decided anew, dials and idle connections end."""
+        # Danger: rules 3 and 4. A dial comes up late, when its server drains, has gone or is cold by now.
+        pools, waiting, self.waiting = self.pools, self.waiting, deque()
+        for dial in list(self.dials):
+            dial.vain = True
+            dial.connector.disconnect()
+        self.shut_idle()
+        for tx in waiting:
+            pools.host.tx_over(pools.clock.now(), tx, Outcome.MOOT)
+
     def _expire(self) -> None:
         """One deadline for all that are idle: that of the longest idle one."""
         if self.expiry is None and self.idle:
@@ -284,10 +316,13 @@
             self.shut(self.idle[0])
         self._expire()
 
-    def shut(self, connection: Connection) -> None:
+    def shut(self, connection: Connection, at_once: bool = False) -> None:
         if connection in self.idle:
             self.idle.remove(connection)
-            connection.transport.loseConnection()
+            if at_once:
+                connection.end_now()
+            else:
+                connection.transport.loseConnection()
 
     def shut_idle(self) -> None:
         for connection in list(self.idle):
@@ -336,16 +371,22 @@
         """Where each server is dialled."""
         return {id: f"{host}:{port}" for id, pool in self.pools.items() for host, port in (pool.address,)}
 
+    def stop(self, server: str) -> None:
+        """Nothing new may be sent to it, by an operator's word."""
+        if server in self.pools:
+            self.pools[server].stop()
+
     def close_idle(self, server: str) -> None:
         if server in self.pools:
             self.pools[server].shut_idle()
 
     def room(self) -> bool:
         """Danger: out of descriptors, a node takes no clients. Idle connections go first."""
-        if self.held >= self.most:
-            for pool in self.pools.values():
-                if pool.idle:
-                    pool.shut(pool.idle[0])
+        for pool in self.pools.values() if self.held >= self.most else ():
+            for connection in pool.idle:
+                if not connection.reading:
+                    # Danger: closed a turn later, it holds a descriptor beside the one that takes its place.
+                    pool.shut(connection, at_once=True)
                     return True
         return self.held < self.most
 
@@ -356,7 +397,8 @@
             address = (host.strip("[]"), int(port))
             if e.state != State.READY:
                 if old is not None:
-                    old.shut_idle()
+                    old.retired = True
+                    old.stop()
                     if e.state == State.GONE:
                         self._forget(e.id)
                 continue
@@ -365,11 +407,11 @@
                 new = Pool(self, address, self.origin if origin else CacheConnection)
                 if old is not None:
                     old.retired = True
-                    old.shut_idle()
+                    old.stop()
                 self.pools[e.id] = new
             elif old.started != e.started_ms:
-                old.shut_idle()  # Danger: connections to the process before, silent if its machine vanished.
-            self.pools[e.id].started = e.started_ms
+                old.stop()  # Danger: connections to the process before, silent if its machine vanished.
+            self.pools[e.id].started, self.pools[e.id].retired = e.started_ms, False
         if kind != ListKind.DELTA:
             listed = {e.id for e in entries}
             for id in [id for id in self.pools if id not in listed]:
@@ -379,4 +421,4 @@
         """Danger: with servers ever new, their pools would pile up. What is out there ends by itself."""
         pool = self.pools.pop(id)
         pool.retired = True
-        pool.shut_idle()
+        pool.stop()
--- a/hookpitch/net/wire.py
+++ b/hookpitch/net/wire.py
@@ -40,6 +40,7 @@
         self._flowing = False
         self._behind = deque[bytes]()  # large pieces that are written from where they are, after the ring
         self._plain: Any = None  # the transport, where bytes can go straight to its socket
+        self.reading = False  # what came is being read in this very turn
 
     def connectionMade(self) -> None:  # noqa: N802
         transport = self.transport
@@ -50,7 +51,11 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Past the class's own line buffer, which would be a second copy of what the ring holds."""
-        self.rawDataReceived(data)
+        self.reading = True
+        try:
+            self.rawDataReceived(data)
+        finally:
+            self.reading = False
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         self.inward.write(data)
@@ -136,7 +141,7 @@
             self.transport.loseConnection()
 
     def abort_now(self) -> None:
-        """Reset in this very turn; not to be called while the transport is being read."""
+        """Reset in this very turn. The transport may be in the middle of a read: it sees that it is over."""
         # Danger: Twisted resets in a later turn, and until then what is sent elsewhere is a second copy.
         self.transport.abortConnection()
         lost = getattr(self.transport, "connectionLost", None)
--- a/hookpitch/simwire/adapter.py
+++ b/hookpitch/simwire/adapter.py
@@ -32,7 +32,7 @@
         self.asking: Asking | None = None  # where discovery has to be asked
         self.armed = FAR
 
-    def send(self, rpc_id: str, server_id: str, limit_ms: float) -> None:
+    def send(self, rpc_id: str, server_id: str, limit_ms: float, begin_ms: float) -> None:
         self.out.append(f"RELAY {self.name} {rpc_id} {server_id} {limit_ms / 1000:.6f}")
 
     def cancel(self, rpc_id: str, tx: int) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -137,10 +137,11 @@
 
     # the host's side
 
-    def send(self, rpc_id: str, server_id: str, limit_ms: float) -> None:
+    def send(self, rpc_id: str, server_id: str, limit_ms: float, begin_ms: float) -> None:
         assert rpc_id in self.open, "rule 1: sent after the RPC's end"
         method, deadline = self.open[rpc_id]
         earlier = self.txs[rpc_id]
+        assert begin_ms > 0
         assert limit_ms > 0 and self.now + limit_ms <= deadline, "a limit past the hard deadline"
         assert len(earlier) < self.d.max_transmissions
         assert self.d.second_copies or all(t["done"] for t in earlier), "two out at once"
--- /dev/null
+++ b/tests/test_crossings_servers.py
@@ -0,0 +1,233 @@
+"""Connections to caches and the origin on real sockets, where two events cross; see docs/crossings.md."""
+
+import fcntl
+import struct
+import termios
+import time
+from pathlib import Path
+
+import pytest
+from fleet import get
+from peers import MISS, VALUE, Line, Real, Settings, method, tell
+
+from hookpitch.core.resp import Fault, command
+
+# The next SYN of a dial that found no room comes a second later.
+LIMITS = {"most_transmissions": 3, "cancelling": True, "dial_timeout_s": 4.0, "conn_idle_s": 60.0}
+METHODS = [method("read"), method("once", "fragile"), method("known", "dedup", window_s=0.6, group="all")]
+
+
+def outstanding(line: Line) -> int:
+    """Bytes that the other side's kernel has not taken yet."""
+    return struct.unpack("i", fcntl.ioctl(line.sock, termios.TIOCOUTQ, b"\0" * 4))[0]
+
+
+def late(folder: Path, caches: int = 1, cancelling: bool = True) -> Real:
+    """A node whose dials to caches do not come up before their backlogs are emptied."""
+    r = Real(folder, caches, backlog=0, methods=METHODS)
+    r.settings["limits"] = LIMITS | {"cancelling": cancelling}
+    r.write()
+    for cache in r.caches:
+        cache.fill()
+    return r
+
+
+def ask(r: Real, id: str, name: str = "read", wait: int = 5500) -> Line:
+    line = r.client()
+    line.say(get(id, method=name, wait=wait))
+    return line
+
+
+def asks_next(r: Real, line: Line, id: str) -> None:
+    """Whatever was asked before, the next command on that connection is this one."""
+    client = ask(r, id)
+    assert line.value()[2] == id.encode()
+    line.say(VALUE)
+    assert client.value() == b"v"
+
+
+@pytest.mark.parametrize(
+    "what", [{"health": "terminating"}, {"health": "terminated"}, {"dial": "127.0.0.1:1"}]
+)
+def test_what_waits_for_a_dial_is_not_begun_once_its_server_is_none(tmp_path: Path, what: Settings) -> None:
+    with late(tmp_path) as r:
+        client = ask(r, "r1")
+        r.until(lambda: any(cache.syn_sent() for cache in r.caches))
+        began = time.monotonic()
+        watch = r.watch(r.change(6, 0, **what))
+        assert isinstance(client.value(), Fault)  # there is no other cache
+        assert time.monotonic() - began < 3.0, "it waited for the dial"
+        assert r.count("tx.moot") == 1 and r.count("upstream_requests") == 0
+        r.caches[0].empty()
+        tell(watch, r.change(7, 0, health="in_service"))
+        r.until(lambda: r.count("lists.delta") == 2)
+        client = ask(r, "r2")
+        line = r.caches[0].accept()
+        assert line.value()[2] == b"r2"  # the first that is ever written to it
+
+
+def test_what_waits_for_a_dial_is_decided_anew_once_its_server_was_started_anew(tmp_path: Path) -> None:
+    with late(tmp_path, 2) as r:
+        ask(r, "r1")
+        r.until(lambda: any(cache.syn_sent() for cache in r.caches))
+        # Both are cold now: budgets, which one that was warm a moment ago did not need, decide.
+        born = time.time() * 1000
+        told = r.change(6, 0, born_ms=born)
+        told["hosts"].append(r.hosts[1] | {"born_ms": born})
+        r.watch(told)
+        r.until(lambda: r.count("tx.moot") == 1)
+        assert r.count("upstream_requests") == 0 and r.count("dials.given_up") == 1
+
+
+def test_a_dial_that_comes_up_with_bytes_on_it_leaves_nobody_waiting(tmp_path: Path) -> None:
+    with late(tmp_path) as r:
+        client = ask(r, "r1")
+        r.until(lambda: any(cache.syn_sent() for cache in r.caches))
+        r.stop()
+        r.caches[0].empty()
+        r.caches[0].accept().say(b"+hello\r\n")
+        began = time.monotonic()
+        r.go_on()
+        assert isinstance(client.value(), Fault) and time.monotonic() - began < 2.5, "it waited to its end"
+        assert r.count("connections.unclean") == r.count("tx.connect_failed") == 1
+
+
+def test_a_server_is_told_of_the_time_that_is_left_when_it_is_begun(tmp_path: Path) -> None:
+    with late(tmp_path) as r:
+        began = time.monotonic()
+        client = ask(r, "r1")
+        r.until(lambda: any(cache.syn_sent() for cache in r.caches))
+        r.caches[0].empty()
+        line = r.caches[0].accept()
+        words = line.value()
+        left = 5000 - 1000 * (time.monotonic() - began)
+        told = int(words[3].partition(b"d=")[2])
+        assert left < 4500 and told <= left + 150, "what the dial took was told as left"
+        line.say(MISS)
+        origin = r.origin.accept()
+        told = int(origin.head().partition(b"d=")[2].partition(b"\r\n")[0])
+        assert told <= 5000 - 1000 * (time.monotonic() - began) + 150, "the origin is told as the caches are"
+        origin.say(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv")
+        assert client.value() == b"v"
+
+
+def test_a_repeat_is_not_begun_after_its_servers_have_forgotten(tmp_path: Path) -> None:
+    with late(tmp_path) as r:
+        r.caches[0].empty()
+        client = ask(r, "r1", "known")
+        line = r.caches[0].accept()
+        assert line.value()[2] == b"r1"
+        r.caches[0].fill()
+        line.reset()  # it may have run
+        r.until(r.caches[0].syn_sent)
+        r.caches[0].empty()  # a second later: the window is over
+        line = r.caches[0].accept()
+        assert isinstance(client.value(), Fault)
+        assert r.count("tx.begun_too_late") == 1 and r.count("upstream_requests") == 1
+        asks_next(r, line, "r2")
+
+
+def test_a_repeat_within_the_window_is_begun(tmp_path: Path) -> None:
+    with late(tmp_path) as r:
+        r.caches[0].empty()
+        client = ask(r, "r1", "known")
+        line = r.caches[0].accept()
+        line.value()
+        line.reset()
+        line = r.caches[0].accept()
+        assert line.value()[2] == b"r1"
+        line.say(VALUE)
+        assert client.value() == b"v"
+
+
+@pytest.mark.parametrize("cancelling", [True, False])
+@pytest.mark.parametrize("how", ["fin", "close", "reset"])
+def test_a_dial_that_comes_up_for_a_client_that_has_gone_begins_nothing(
+    tmp_path: Path, how: str, cancelling: bool
+) -> None:
+    with late(tmp_path, cancelling=cancelling) as r:
+        client = ask(r, "r1")
+        r.until(lambda: any(cache.syn_sent() for cache in r.caches))
+        getattr(client, how)()
+        r.until(lambda: r.count("rpcs.errored") + r.count("rpcs.client_left") == 1)
+        r.caches[0].empty()
+        asks_next(r, r.caches[0].accept(), "r2")
+
+
+def test_an_idle_connection_that_its_server_closed_unseen_is_not_used(tmp_path: Path) -> None:
+    with Real(tmp_path, 1, methods=METHODS) as r:
+        for id, end in (("r2", "fin"), ("r3", "close"), ("r4", "reset")):
+            client = r.client()
+            client.say(get(id + "0"))
+            line = r.caches[0].accept()
+            line.value()
+            line.say(VALUE)
+            assert client.value() == b"v"  # the connection is idle now
+            r.stop()
+            getattr(line, end)()
+            client.say(get(id, method="once"))  # one that may not be sent twice
+            r.go_on()
+            line = r.caches[0].accept()
+            assert line.value()[2] == id.encode()
+            line.say(VALUE)
+            assert client.value() == b"v"
+            line.close()
+
+
+def test_a_connection_that_its_server_closes_after_the_command_may_have_run(tmp_path: Path) -> None:
+    with Real(tmp_path, 1, methods=METHODS) as r:
+        for end in ("close", "reset"):
+            client = r.client()
+            client.say(get(f"{end}1", method="once"))
+            line = r.caches[0].accept()
+            line.value()
+            getattr(line, end)()
+            assert client.value() == Fault(b"ERR failed")
+            client.say(get(f"{end}2"))
+            line = r.caches[0].accept()
+            line.value()
+            getattr(line, end)()
+            line = r.caches[0].accept()  # this one may be sent again
+            assert line.value()[2] == f"{end}2".encode()
+            line.say(VALUE)
+            assert client.value() == b"v"
+            line.close()
+
+
+@pytest.mark.parametrize("together", [True, False])
+@pytest.mark.parametrize("how", ["fin", "reset"])
+def test_an_answer_without_a_length_ends_with_its_connection_and_not_with_a_reset(
+    tmp_path: Path, how: str, together: bool
+) -> None:
+    with Real(tmp_path, 1, methods=METHODS) as r:
+        client = r.client()
+        client.say(command(b"OBJ.SET", b"k", b"r1", b"c=once,d=5000", b"x"))
+        line = r.origin.accept()
+        line.head()
+        assert line.sock.recv(1) == b"x"
+        if together:  # part of the body and the end of the connection stand in the kernel
+            r.stop()
+        line.say(b"HTTP/1.1 200 OK\r\nX-Load: inflight=1\r\n\r\nval")
+        if not together:  # it has read the part when the end comes
+            r.until(lambda: not outstanding(line))
+            r.info()
+        getattr(line, how)()
+        if together:
+            r.go_on()
+        assert client.value() == (b"val" if how == "fin" else Fault(b"ERR failed"))
+
+
+@pytest.mark.parametrize("bad", [b"+what\r\n", b"*3\r\n$1\r\nvv\r\n", b"?", b"*99\r\n"])
+def test_what_cannot_be_read_is_reset_before_the_next_transmission(tmp_path: Path, bad: bytes) -> None:
+    with Real(tmp_path, 2, methods=METHODS) as r:
+        client = ask(r, "r1")
+        _, line = r.asked()
+        assert line.value()[2] == b"r1"
+        line.say(bad if bad != b"?" else bad + b"\r\n")
+        _, other = r.asked()
+        assert other.value()[2] == b"r1"
+        line.sock.settimeout(0)  # as the second one has come, the first is over: not a moment later
+        with pytest.raises(ConnectionResetError):
+            line.sock.recv(1)
+        other.say(VALUE)
+        assert client.value() == b"v"
