Nothing is sent for clients that have gone unseen; connections end without a reset

Cause, confirmed on real sockets: a request that stood unread was sent on though its client had closed long ago, as the end is read a turn after it; a client that was not read any more (4,096 commands out) was never seen to go; at a shutdown or drain a pipeline was read and served for as long as it went on; what was open when the node's time was up lost its connection without an answer. Change: the client's socket is looked at before anything that waited is sent (TCP_INFO, behind unread bytes too), and before what stood unread for over 50 ms is begun; in a drain nothing more is read once no command stands in part; the sending ends first, the close comes 0.1 s later; what is open at the end is answered as failed.

--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -57,6 +57,7 @@
     def begun(self, place: list[bytes | None], stream: Stream) -> None: ...
     def piece(self, place: list[bytes | None], data: bytes) -> None: ...
     def broken(self, place: list[bytes | None]) -> None: ...  # what was begun cannot be finished
+    def gone(self) -> bool: ...  # its client has gone, or has ended its sending, as far as this machine knows
 
 
 class Tx:
@@ -82,7 +83,7 @@
     """An RPC from the time it is taken until it is answered and no transmission is out."""
 
     __slots__ = ("number", "client", "place", "command", "key", "id", "extras", "value", "hard", "deadline",
-                 "txs", "live", "open", "parting", "method", "stream", "streaming")  # fmt: skip
+                 "txs", "live", "open", "parting", "method", "stream", "streaming", "came")  # fmt: skip
 
     def __init__(self, client: Client, place: list[bytes | None], words: Sequence[bytes],
                  method: str) -> None:  # fmt: skip
@@ -91,7 +92,7 @@
         self.value: bytes | Pieces | None = words[4] if len(words) > 4 else None
         self.stream: Stream | None = None  # its answer, once it has begun to pass in pieces,
         self.streaming: Tx | None = None  # and by which transmission
-        self.number, self.live, self.hard = -1, 0, 0.0
+        self.number, self.live, self.hard, self.came = -1, 0, 0.0, 0.0  # came: when it was read
         self.open, self.parting = True, False  # parting: the client sends no more, maybe has gone
         self.deadline: Deadline | None = None
         self.txs: list[Tx] = []
@@ -144,7 +145,7 @@
             return None
         rpc = Rpc(client, place, words, method.name)
         self.ids.add(rpc.id)
-        rpc.number, rpc.hard = self.rpcs.add(rpc), now + grace - age
+        rpc.number, rpc.hard, rpc.came = self.rpcs.add(rpc), now + grace - age, now
         self.counters.add("rpcs.taken")
         self.open += 1
         key, write = rpc.key.decode("latin-1"), rpc.value is not None
@@ -297,6 +298,14 @@
         self.node.reconfigured(now, deployment)
         self.decide(now)
 
+    def give_up_all(self, now: float) -> None:
+        """The node ends: what is open is answered now."""
+        # Danger: a connection that ends with no answer on it loses its RPC.
+        for rpc in self.rpcs.all():
+            if rpc.open and rpc.stream is None:
+                self._answer(rpc, b"-ERR failed\r\n", "errored")
+                self.node.client_left(now, str(rpc.number))
+
     def ban(self, now: float, id: str, banned: bool) -> None:
         """An operator leaves a server out, or takes it back."""
         self.node.server_banned(now, id, banned)
@@ -327,7 +336,11 @@
                     pass
                 if not self._unsent:
                     break
-                self.tx_over(now, self._unsent.popleft(), Outcome.FULL)
+                tx = self._unsent.popleft()
+                if tx.rpc.parting and tx.rpc.open:
+                    self._left(now, tx.rpc, True)
+                if not tx.done:
+                    self.tx_over(now, tx, Outcome.CANCELLED if tx.rpc.parting else Outcome.FULL)
         finally:
             self._deciding = False
 
@@ -342,6 +355,12 @@
         tx = Tx(rpc, len(rpc.txs), server_id, self.now, until, self.now + begin_ms)
         rpc.txs.append(tx)
         rpc.live += 1
+        # Danger: its client has gone while it waited, and that stands unread behind what else happens.
+        if rpc.open and self.now > rpc.came and rpc.client.gone():
+            rpc.parting = True
+            self.counters.add("tx.for_nobody")
+            self._unsent.append(tx)
+            return
         self.counters.add("tx.sent")
         if not rpc.open or not self.carrier.carry(self.now, tx):
             self._unsent.append(tx)
--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -32,6 +32,8 @@
 GUEST_MS = 100.0  # a connection beyond the room is kept for so long, for its first command to be answered
 PROGRESS = 4096  # bytes of a large value, which show that its client is not silent
 LAST_MS = 5000.0  # for the last answers of a connection that ends to be read
+LINGER_MS = 100.0  # between the end of the sending and the close, for the last answer to arrive
+LEFT_MS = 50.0  # what stood unread for longer may be of a client that has gone since
 REFUSED = Pieces()  # stands for a large value that is not held
 YIELD_MS = 250.0  # without a byte, after which one without a whole request may have to give way
 LOOKED_AT = 16  # connections that are weighed when one has to give way
@@ -50,7 +52,9 @@
         self.rpcs: dict[int, Rpc] = {}  # open ones, by their place's id
         self.number = -1
         self.ending = self.lost = self.guest = False  # ending: nothing more is read
+        self.finished = self.peer_done = False  # our sending has ended, too; so has the client's, all read
         self._taking = self.asked = self.parting = False  # asked: a whole command has come
+        self.parted = False  # has ended its sending, as seen when what it sent was read
         self.since = 0.0  # the last answer, or the first byte of a command; at first the connection itself
         self.heard = 0.0  # the latest byte
 
@@ -100,18 +104,29 @@
             return
         self._taking = True
         try:
-            self._take(self.age())
+            age = self.age()
+            # Danger: what was read too late is sent for a client that has gone.
+            self.parted = age > LEFT_MS and self.peer_ended()
+            self._take(age)
         except Malformed as fault:
             self.host.counters.add("clients.malformed")
             self._say(b"-ERR %b\r\n" % str(fault).encode())
             self.ending = True
         finally:
             self._taking = False
+        self._last()
         if self.ending:
             self.inward.skip(len(self.inward))
         self._flush()
         self.file()
 
+    def _last(self) -> None:
+        """In a drain nothing is read any more, once no command stands in part."""
+        # Danger: a pipeline that never rests is never ended; what is read after the end of sending is lost.
+        if self.clients.draining and self.asked and self.due and not self.ending and self.parser.between:
+            self.ending = True
+            self.pauseProducing()
+
     def file(self) -> None:
         """Into the line of those from which one is chosen to give way: the longest silent stands first."""
         clients = self.clients
@@ -134,6 +149,7 @@
                 self.asked = True
                 self._command(words, age)
                 if len(self.due) >= DUE_MOST:
+                    self.host.counters.add("clients.paused")
                     self.pauseProducing()
         # Danger: hundreds of commands that came at once keep all deadlines waiting until each was decided.
         self.clients.clock.deadlines.add(self.clients.clock.now(), lambda _: self.came())
@@ -147,7 +163,10 @@
             place: list[bytes | None] = [None]
             self.due.append(place)
             rpc = None
-            if self.guest:
+            if self.parted:
+                self.host.counters.add("rpcs.client_left")
+                place[0] = b"-ERR failed\r\n"
+            elif self.guest:
                 self.host.counters.add("rpcs.no_room")
                 self.host.refused(words)
                 place[0] = b"-BUSY\r\n"
@@ -259,10 +278,16 @@
             self.resumeProducing()
             self.came()  # what was read before the pause
 
+    def gone(self) -> bool:
+        """Whether the client has closed its connection, or ended its sending, read or not."""
+        return self.lost or self.peer_ended()
+
     def drained(self) -> None:
         if self.clients.draining and not self.lost and not self.ending:
             # Danger: a request that stands unread in the kernel counts as taken.
             getattr(self.transport, "doRead", lambda: None)()
+            if not self.lost:
+                self._last()
         self._resume()
         self.file()
         self._end()
@@ -276,7 +301,7 @@
         if self.lost:
             return
         if self.ending and not self.due and not len(self.outward):
-            self.transport.loseConnection()
+            self.finish()
         elif self.clients.draining and self.idle and self.asked and not self.parting:
             self.parting = True
             self.clients.clock.deadlines.add(self.clients.clock.now(), self._part)
@@ -293,10 +318,24 @@
             if self.kernel():
                 getattr(self.transport, "doRead", lambda: None)()
             if not self.lost and self.idle:
-                self.end_now()
+                self.finish()
+
+    def finish(self) -> None:
+        """All that is owed was written: the sending ends in this very turn, the connection a moment later."""
+        # Danger: a close over unread bytes resets the connection, and the last answer goes with it.
+        self.ending = True
+        if self.finished or (self._flowing and self._plain is not None):
+            return  # what waits to be written goes first
+        self.finished = True
+        if not self.peer_done and self.end_sending():
+            until = self.clients.clock.now() + LINGER_MS
+            self.clients.clock.deadlines.add(until, lambda _: self.lost or self.end_now())
+        else:
+            self.transport.loseConnection()
 
     def readConnectionLost(self) -> None:  # noqa: N802
         self.host.client_left(self.clients.clock.now(), list(self.rpcs.values()), reads=True)
+        self.peer_done = True
         with suppress(Malformed):
             while not self.ending and self.parser.next()[0]:  # not begun yet, and nothing is sent any more
                 self._say(b"-ERR failed\r\n")
@@ -399,7 +438,7 @@
         for client in list(self.open):
             if client.since > now - kept:
                 break
-            if client.ending and client.since < now - LAST_MS:
+            if client.ending and not client.due and client.since < now - LAST_MS:
                 client.transport.abortConnection()  # Danger: its end waits for a peer that does not read
             if client.due or len(client.outward) or client.ending or client.paused:
                 continue
@@ -419,7 +458,10 @@
         self.host.counters.add(f"clients.{why}")
         client.ending = True
         client.file()
-        client.end_now()
+        if client.since > self.clock.now() - LINGER_MS:
+            client.finish()
+        else:
+            client.end_now()
 
     def spare_memory(self) -> None:
         """Danger: clients that ask and never read; the node would be killed for memory."""
@@ -447,6 +489,13 @@
             else:
                 client.drained()
 
+    def end_all(self) -> None:
+        """What is open ends now, whatever was read of it: no more time is left."""
+        for client in list(self.open):
+            client.ending = True
+            client.due.clear()
+            client.finish()
+
     def left(self) -> None:
         if self.leaving is not None and not self.open:
             done, self.leaving = self.leaving, None
--- a/hookpitch/net/wire.py
+++ b/hookpitch/net/wire.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from collections.abc import Iterable
-from socket import IPPROTO_TCP, MSG_PEEK, TCP_INFO
+from socket import IPPROTO_TCP, MSG_PEEK, SHUT_WR, TCP_INFO
 from struct import unpack_from
 from typing import Any
 
@@ -16,6 +16,7 @@
 from hookpitch.core.ring import Ring
 
 CHUNK = 65536  # bytes handed to the transport at a time, once it has written those before
+ENDED = (6, 7, 8, 9, 11)  # its first byte, of a peer that has ended its sending: CLOSE, CLOSE_WAIT and so on
 INFO_BYTES, LAST_RECEIVED = 56, 52  # of Linux' struct tcp_info (linux/tcp.h): tcpi_last_data_recv, in ms
 
 
@@ -72,6 +73,19 @@
         except (OSError, ValueError):
             return 0.0
 
+    def peer_ended(self) -> bool:
+        """Whether the peer has ended its sending, or is gone: also behind bytes that stand unread."""
+        socket = getattr(self.transport, "socket", None)
+        if socket is None:
+            return False
+        try:
+            state = socket.getsockopt(IPPROTO_TCP, TCP_INFO, INFO_BYTES)[0]
+            return state in ENDED if state else socket.recv(1, MSG_PEEK) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def came(self) -> None:
         """More stands in the inward ring."""
         raise NotImplementedError
@@ -140,6 +154,17 @@
         else:
             self.transport.loseConnection()
 
+    def end_sending(self) -> bool:
+        """Tell the peer in this very turn that no more comes, and read no more; False where it can't be."""
+        if self._plain is None or not self._plain.connected or self._flowing:
+            return False
+        try:
+            self._plain.socket.shutdown(SHUT_WR)
+        except OSError:
+            return False
+        self.pauseProducing()
+        return True
+
     def abort_now(self) -> None:
         """Reset in this very turn. The transport may be in the middle of a read: it sees that it is over."""
         # Danger: Twisted resets in a later turn, and until then what is sent elsewhere is a second copy.
--- /dev/null
+++ b/tests/test_crossings_clients.py
@@ -0,0 +1,219 @@
+"""Clients on real sockets, at the moments where two events cross; see docs/crossings.md."""
+
+import signal
+import socket
+import time
+from pathlib import Path
+
+import pytest
+from fleet import get
+from peers import MISS, VALUE, Line, Real, method
+
+from hookpitch.core.resp import Fault, Plain, command
+
+METHODS = [method("read"), method("once", "fragile"), method("short", soft_s=0.8) | {"hard_deadline_s": 1.0}]
+QUIT, PING = b"*1\r\n$4\r\nQUIT\r\n", b"*1\r\n$4\r\nPING\r\n"
+GONE_S = 0.12  # a client that closed its connection longer ago than 0.1 s has gone
+
+
+def real(folder: Path) -> Real:
+    return Real(folder, 1, methods=METHODS)
+
+
+def knows(r: Real, client: Line) -> None:
+    """The node has taken the client's connection."""
+    client.say(PING)
+    assert client.value() == Plain(b"PONG")
+
+
+def asks_next(r: Real, line: Line, id: str) -> None:
+    """Whatever was asked before, the next command on that connection is this one."""
+    client = r.client()
+    client.say(get(id, wait=5000))
+    assert line.value()[2] == id.encode()
+    line.say(VALUE)
+    assert client.value() == b"v"
+
+
+def warm(r: Real) -> Line:
+    """A connection to the cache, idle."""
+    client = r.client()
+    client.say(get("warm", wait=5000))
+    line = r.caches[0].accept()
+    line.value()
+    line.say(VALUE)
+    assert client.value() == b"v"
+    return line
+
+
+def listens(r: Real) -> bool:
+    try:
+        socket.create_connection(("127.0.0.1", r.port), timeout=1).close()
+    except OSError:
+        return False
+    return True
+
+
+@pytest.mark.parametrize("how", ["fin", "close", "reset"])
+def test_a_request_that_is_read_after_its_client_has_gone_is_not_sent_on(tmp_path: Path, how: str) -> None:
+    with real(tmp_path) as r:
+        line, client = warm(r), r.client()
+        knows(r, client)
+        r.stop()
+        client.say(get("r1", wait=5000))
+        getattr(client, how)()
+        time.sleep(GONE_S)  # so long the node is held still: it has gone, whatever the node knows
+        r.go_on()
+        if how == "fin":  # it may still read
+            assert isinstance(client.value(), Fault)
+        asks_next(r, line, "r2")
+
+
+def test_a_client_that_ends_its_sending_with_its_request_and_reads_is_answered(tmp_path: Path) -> None:
+    with real(tmp_path) as r:
+        line, client = warm(r), r.client()
+        knows(r, client)
+        client.say(get("r1", wait=5000))
+        client.fin()
+        assert line.value()[2] == b"r1"
+        line.say(VALUE)
+        assert client.value() == b"v"
+
+
+@pytest.mark.parametrize("order", ["miss first", "close first"])
+@pytest.mark.parametrize("how", ["fin", "close", "reset"])
+def test_nothing_further_is_sent_for_a_client_that_left_as_a_server_answered(
+    tmp_path: Path, how: str, order: str
+) -> None:
+    with real(tmp_path) as r:
+        line, client = warm(r), r.client()
+        client.say(get("r1", wait=5000))
+        assert line.value()[2] == b"r1"
+        r.stop()  # both stand in the kernel; the node reads servers before clients
+        for what in (("miss", how), (how, "miss"))[order == "close first"]:
+            if what == "miss":
+                line.say(MISS)
+            else:
+                getattr(client, what)()
+        r.go_on()
+        other = r.client()
+        other.say(command(b"OBJ.SET", b"k", b"w1", b"c=read,d=5000", b"x"))
+        assert b"X-Request-Id: w1\r\n" in r.origin.accept().head(), "sent on for nobody"
+
+
+def test_a_client_with_thousands_out_that_is_not_read_any_more_is_seen_to_go(tmp_path: Path) -> None:
+    with real(tmp_path) as r:
+        line, client = warm(r), r.client()
+        client.say(get("r1", wait=5000))
+        assert line.value()[2] == b"r1"
+        client.say(PING * 4200)  # answered behind the first; from 4096 on the node reads no more of it
+        r.until(lambda: r.count("clients.paused") == 1)
+        client.say(PING * 100)  # so the end of the sending stands behind unread bytes
+        client.fin()
+        line.say(MISS)
+        other = r.client()
+        other.say(command(b"OBJ.SET", b"k", b"w1", b"c=read,d=5000", b"x"))
+        assert b"X-Request-Id: w1\r\n" in r.origin.accept().head(), "sent on for nobody"
+        assert isinstance(client.value(), Fault) and client.value() == Plain(b"PONG")
+
+
+@pytest.mark.parametrize("last", [QUIT, b"*1\r\n$x\r\n"])
+def test_bytes_that_come_as_a_connection_ends_do_not_take_its_last_answers(
+    tmp_path: Path, last: bytes
+) -> None:
+    with real(tmp_path) as r:
+        line, client = warm(r), r.client()
+        client.say(get("r1", wait=5000) + last)
+        assert line.value()[2] == b"r1"
+        r.stop()
+        client.say(get("r2", wait=5000) * 3000)  # more than one look takes
+        line.say(VALUE)
+        r.go_on()
+        assert client.value() == b"v" and type(client.value()) is (Plain if last == QUIT else Fault)
+        assert client.ended() == "fin"
+        asks_next(r, line, "r3")
+
+
+@pytest.mark.parametrize("sent", ["before", "after"])
+def test_a_pipeline_that_goes_on_at_a_shutdown_ends_between_two_commands(tmp_path: Path, sent: str) -> None:
+    with real(tmp_path) as r:
+        line, client = warm(r), r.client()
+        client.say(get("r1", wait=5000))
+        assert line.value()[2] == b"r1"
+        if sent == "before":  # taken: it is owed an answer
+            client.say(get("r2", wait=5000))
+            line2 = r.caches[0].accept()
+            assert line2.value()[2] == b"r2"
+        r.signal(signal.SIGTERM)
+        r.until(lambda: not listens(r))
+        if sent == "after":  # not read: the client sends it once more, elsewhere
+            client.say(get("r2", wait=5000))
+        else:
+            line2.say(VALUE)
+        line.say(VALUE)
+        assert client.value() == b"v"
+        if sent == "before":
+            assert client.value() == b"v"
+        assert client.ended() == "fin"
+        assert r.left() == 0
+        assert line.ended() in ("fin", "reset"), "sent on though its answer could not come"
+        with pytest.raises(EOFError):
+            client.value()
+
+
+def test_a_command_that_stands_in_part_at_a_shutdown_is_served(tmp_path: Path) -> None:
+    with real(tmp_path) as r:
+        line, client, text = warm(r), r.client(), get("r1", wait=5000)
+        client.say(text[:30])
+        r.signal(signal.SIGTERM)
+        r.until(lambda: not listens(r))
+        client.say(text[30:])
+        assert line.value()[2] == b"r1"
+        line.say(VALUE)
+        assert client.value() == b"v" and client.ended() == "fin"
+        assert r.left() == 0
+
+
+def test_what_is_open_at_the_end_of_a_shutdown_is_answered(tmp_path: Path) -> None:
+    with Real(tmp_path, 1, methods=METHODS[2:]) as r:
+        client, text = r.client(), get("r1", method="short", wait=1000)
+        client.say(text[:30])
+        began = time.monotonic()
+        r.signal(signal.SIGTERM)
+        r.until(lambda: not listens(r))
+        r.until(lambda: time.monotonic() > began + 1.1)  # its time ends after the node's, 0.5 + 1.0 + 0.15 s
+        client.say(text[30:])
+        r.caches[0].accept().value()  # and no answer comes
+        assert isinstance(client.value(), Fault) and client.ended() == "fin"
+        assert r.left() == 0 and time.monotonic() < began + 2.2
+
+
+def test_an_idle_client_that_asks_as_the_node_leaves_is_answered_or_may_ask_again(tmp_path: Path) -> None:
+    for before in (True, False):  # the last look at its connection
+        with real(tmp_path) as r:
+            line, client = warm(r), r.client()
+            knows(r, client)
+            r.signal(signal.SIGTERM)
+            if before:
+                r.stop()  # held still while it serves on
+                client.say(get("r1", wait=5000))
+                r.go_on()
+                assert line.value()[2] == b"r1"
+                line.say(VALUE)
+                assert client.value() == b"v"
+            assert client.ended() == "fin"
+            if not before:
+                client.say(get("r1", wait=5000))
+                assert r.left() == 0
+                assert line.ended() in ("fin", "reset"), "read after the shutdown and sent on"
+
+
+def test_commands_of_one_byte_at_a_time_are_commands(tmp_path: Path) -> None:
+    with real(tmp_path) as r:
+        line, client = warm(r), r.client()
+        for byte in get("r1", wait=5000):
+            client.say(bytes([byte]))
+        assert line.value()[2] == b"r1"
+        for n in range(len(VALUE)):
+            line.say(VALUE[n : n + 1])
+        assert client.value() == b"v"
