After a reload the stricter of both settings binds what may have run

And the time from which on the loop counts as away stayed that of the start. Change: Method.under(); Pulse.reconfigured().

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -178,11 +178,13 @@
         self.next_beat, self.next_round = now + self.window, now + ROUND_MS * (1 + self._chance())
 
     def reconfigured(self, now: float, d: Deployment) -> None:
-        """New settings. RPCs in flight keep their method; what is known of servers and shares stays."""
+        """New settings. RPCs in flight keep their deadlines; what is known of servers and shares stays."""
         self.now, self.methods, self.nodes = now, {m.name: m for m in d.methods}, max(1, d.nodes)
         self.max_txs = d.max_transmissions
         self.cancelling, self.copies, self.customers = d.cancelling, d.second_copies, d.customers
         self.shared_by(now, 1 / self.part)
+        for rpc in self.rpcs.values():  # Danger: servers may know repeats for less long by now.
+            rpc.method = rpc.method.under(self.methods.get(rpc.method.name))
         for rpc in self.rpcs.values() if not d.second_copies else ():  # where they were allowed until now
             self.retract.extend(tx for tx in rpc.txs if tx.slow and not tx.done)
         self.tick, self.margin, self.retry_after = d.tick_ms or 1.0, 2 * d.tick_ms + 1, d.max_retry_after_ms
--- a/hookpitch/balancer/interface.py
+++ b/hookpitch/balancer/interface.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import IntEnum
 from typing import Protocol
 
@@ -59,6 +59,9 @@
     NON_RETRIABLE = 2
 
 
+GROUPS = ("cell", "zone", "all")  # of servers that drop each other's repeats, the smallest first
+
+
 @dataclass(frozen=True, slots=True)
 class Method:
     """A class of RPCs."""
@@ -75,6 +78,16 @@
     kinds: tuple[str, ...] = ()  # the only kinds of machine, and
     zones: tuple[str, ...] = ()  # the only locations it may be sent to; empty: any. The origin is always open
 
+    def under(self, new: Method | None) -> Method:
+        """For an RPC in flight, once the settings say otherwise of its method, or know it no more: its
+        deadlines and gain stay, and of what binds a further transmission the stricter holds."""
+        if new is None or new == self:
+            return self
+        return replace(self, idempotency=max(self.idempotency, new.idempotency),
+                       group=min(self.group, new.group, key=GROUPS.index),
+                       window_ms=min(self.window_ms, new.window_ms),
+                       kinds=new.kinds or self.kinds, zones=new.zones or self.zones)  # fmt: skip
+
 
 @dataclass(frozen=True, slots=True)
 class Customer:
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -284,6 +284,7 @@
             # The seed stays: with another, each node's draws and with them its keys' caches would move.
             self.host.reconfigured(self.clock.now(), replace(d, seed=before.seed))
             self.pools.reconfigured()
+            self.pulse.reconfigured()
             self.discovery.reconfigured()
             self.host.counters.add("config_changes")
         address = f"{told.discovery[0]}:{told.discovery[1]}"
