--- a/hookpitch/net/clients.py
+++ b/hookpitch/net/clients.py
@@ -163,7 +163,7 @@
             place: list[bytes | None] = [None]
             self.due.append(place)
             rpc = None
-            if self.parted:
+            if self.parted or self.clients.over:
                 self.host.counters.add("rpcs.client_left")
                 place[0] = b"-ERR failed\r\n"
             elif self.guest:
@@ -375,6 +375,7 @@
         clock.deadlines.add(clock.now() + SWEEP_MS, self.sweep)
         self.leaving: Callable[[], None] | None = None
         self.draining = self.paused = False  # draining: what is idle is closed; paused: `PING` says no
+        self.over = False  # no time is left to send anything on
 
     def buildProtocol(self, addr: Any) -> Client:  # noqa: ANN401, N802
         return Client(self)
@@ -490,11 +491,13 @@
                 client.drained()
 
     def end_all(self) -> None:
-        """What is open ends now, whatever was read of it: no more time is left."""
+        """What is open ends now, but for what stands in part: no more time is left."""
+        self.over = True  # a command that becomes whole only now is answered at once
         for client in list(self.open):
-            client.ending = True
-            client.due.clear()
-            client.finish()
+            if client.due or client.parser.between:
+                client.ending = True
+                client.due.clear()
+                client.finish()
 
     def left(self) -> None:
         if self.leaving is not None and not self.open:
