Where lists are pushed, the first one is asked for at once, and each after a loss

Cause: net/start.py set must_ask whatever the settings say, so that startup/asking.py spread calls as for one service that all nodes share; where lists are pushed, what the agent has counts as told from the first moment on. Ruled out: the silence of watches (one had fallen silent, at 4 s). Change: settings with lists that are pushed have them asked for at once, and 60 to 180 ms after a loss. In a shutdown what is open is given up 40 ms before the last moment, not 40 ms after it.

--- a/hookpitch/net/discovery.py
+++ b/hookpitch/net/discovery.py
@@ -158,7 +158,8 @@
         self.most = most
         self.current: Watch | None = None
         d = host.deployment
-        self.asking = Asking(clock.now(), d.nodes, d.ask_within_ms or ASK_WITHIN_MS, draws(d.seed, "ask"))
+        within = d.ask_within_ms or ASK_WITHIN_MS
+        self.asking = Asking(clock.now(), d.nodes, within, draws(d.seed, "ask"), not d.must_ask)
         self.due: Deadline | None = None
         self.first: Callable[[], None] | None = None  # called once a list has come
         self.older = 0  # times in a row that it was heard with versions lower than the one held,
@@ -178,7 +179,7 @@
 
     def reconfigured(self) -> None:
         d = self.host.deployment
-        self.asking.retimed(d.nodes, d.ask_within_ms or ASK_WITHIN_MS)
+        self.asking.retimed(d.nodes, d.ask_within_ms or ASK_WITHIN_MS, not d.must_ask)
 
     def watch(self, now: float) -> None:
         self.host.counters.add("lists.asked")
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -37,8 +37,8 @@
 VAIN = 3  # failures, and no answer from anyone, after which the list of before is of no use
 ENOUGH = 4  # answers of a server, from which on it is known
 LAST_MS = 100.0  # for the last snapshot to be written
-REPLY_MS = 150.0  # past the longest deadline, for the last answers to be written,
-ARRIVE_MS = 40.0  # and for them to arrive, before the process's end resets what has bytes unread
+REPLY_MS = 150.0  # past the longest deadline, for the last answers to be written;
+ARRIVE_MS = 40.0  # of it for them to arrive, before the process's end resets what has bytes unread
 
 
 class Peers(Protocol):
@@ -306,8 +306,8 @@
         deadlines.add(until, lambda _: self._close())
         # Danger: what parts by turns may still ask just before its turn, and is owed its whole time.
         last = until + self._parting() + longest + REPLY_MS
-        deadlines.add(last, lambda _: self._give_up())
-        deadlines.add(last + ARRIVE_MS, lambda _: self._end())
+        deadlines.add(last - ARRIVE_MS, lambda _: self._give_up())
+        deadlines.add(last, lambda _: self._end())
 
     def _give_up(self) -> None:
         """No time is left, whatever clients still do."""
--- a/hookpitch/net/start.py
+++ b/hookpitch/net/start.py
@@ -55,8 +55,7 @@
     number, limits = _seed(top), top.get("limits") or {}
     if not isinstance(limits, dict):
         raise ValueError("limits is no JSON object")
-    # On sockets the list always has to be asked for.
-    d = replace(deployment(number, top.get("settings")), must_ask=True)
+    d = _deployment(number, top.get("settings"))
     known = top.get("known")
     seq, _, entries, dials = read({"seq": 0, "whole": True, "hosts": []} if known is None else known, d.kinds)
     return Post(
@@ -93,13 +92,20 @@
     if not isinstance(value, str):
         raise ValueError("discovery is missing")
     settings = top.get("settings")
-    d = None if settings is None else replace(deployment(_seed(top), settings), must_ask=True)
+    d = None if settings is None else _deployment(_seed(top), settings)
     if d is not None and not d.methods:
         raise ValueError("settings have no methods")
     fixed = {name: top[name] for name in FIXED if name in top}
     return Anew(_address(value, "discovery"), d, fixed)
 
 
+def _deployment(seed: int, settings: object) -> Deployment:
+    """On sockets a list has to be asked for, where the settings don't say that it is pushed."""
+    d = deployment(seed, settings)
+    pushed = isinstance(settings, dict) and settings.get("discovery") == "pushed"
+    return replace(d, must_ask=not pushed)
+
+
 def _seed(top: Mapping[str, Any]) -> int:
     seed = top.get("seed", 0)
     return _whole(int(seed, 16) if isinstance(seed, str) and _hex(seed) else seed, "seed", 0)
--- a/hookpitch/startup/asking.py
+++ b/hookpitch/startup/asking.py
@@ -19,6 +19,9 @@
   most, as QUIET has gone by already;
 - a call that is not answered within min(W/2, PATIENCE) has failed.
 
+Where lists are pushed (told), what the agent has counts as told at once, be a watch open or not: there
+the first call is made at once, and any other within AGENT_MS of a loss.
+
 What this gives up: N nodes that are refused call N / (2/3 NEXT) times a second in the mean, where the span
 would grow without NEXT. A refusal that says when to come back is heeded, up to NEXT. Source of the rules: the
 platform's protocol pages.
@@ -36,6 +39,7 @@
 QUIET_MS = 3000.0  # half as long again as between two beats: a watch that says nothing for longer is lost
 SPREAD_MS = 1000.0  # the widest span after a watch that fell silent, or a call that was long in failing
 AGAIN_MS = 1500.0  # the widest span of nodes that go on after they were stopped
+AGENT_MS = 60.0, 180.0  # after a loss, where lists are pushed: by an agent of the node's own
 LATE_MS = 500.0  # a node so late with its call was stopped, or is very busy
 FAR = float("inf")
 
@@ -51,23 +55,27 @@
 class Asking:
     """One node's calls. `at`: when the next is due, in ms of the host's clock; FAR while a watch is open."""
 
-    __slots__ = ("at", "failures", "_within", "_nodes", "_chance", "_served", "_hurried", "_began")
+    __slots__ = ("at", "failures", "_within", "_nodes", "_chance", "_served", "_hurried", "_began", "_pushed")
 
-    def __init__(self, now: float, nodes: int, within_ms: float, chance: Callable[[], float]) -> None:
-        """`nodes`: over the fleet, as told. `within_ms`: a node has to ask so often. `chance`: a draw."""
-        self._nodes, self._within, self._chance = max(1, nodes), within_ms, chance
+    def __init__(self, now: float, nodes: int, within_ms: float, chance: Callable[[], float],
+                 pushed: bool = False) -> None:  # fmt: skip
+        """`nodes`: over the fleet, as told. `within_ms`: a node has to ask so often. `chance`: a draw.
+        `pushed`: what discovery has counts as told whether it was asked or not."""
+        self._chance = chance
+        self.retimed(nodes, within_ms, pushed)
         self.failures, self._served, self._hurried = 0, False, False
         self._began = now  # the latest call
-        self.at = now + min(within_ms / 2, NEXT_MS) * (1 - 1 / self._nodes) * chance()
+        spread = 0.0 if pushed else min(within_ms / 2, NEXT_MS) * (1 - 1 / self._nodes)
+        self.at = now + spread * chance()
 
-    def retimed(self, nodes: int, within_ms: float) -> None:
+    def retimed(self, nodes: int, within_ms: float, pushed: bool = False) -> None:
         """New settings; what is due stays due."""
-        self._nodes, self._within = max(1, nodes), within_ms
+        self._nodes, self._within, self._pushed = max(1, nodes), within_ms, pushed
 
     @property
     def span(self) -> float:
         """Over which the whole fleet may ask once, in ms."""
-        return min(self._within / 2, self._nodes * EACH_MS, NEXT_MS)
+        return 0.0 if self._pushed else min(self._within / 2, self._nodes * EACH_MS, NEXT_MS)
 
     @property
     def patience(self) -> float:
@@ -114,6 +122,10 @@
             # Danger: a call that hung, and then a wait as after one that was refused at once.
             widest = max(min(widest, self._began + NEXT_MS - now), min(widest, SPREAD_MS))
             least = max(widest / 3, min(after_ms, widest * 2 / 3))  # all at once at its end is no better
+            if self._pushed and after_ms <= 0:
+                least, widest = AGENT_MS
+        elif self._pushed:
+            least, widest = AGENT_MS
         else:
             # Danger: all watches end at once, and the one who asks first is no better off than the last.
             least = self._within / 40
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -133,6 +133,20 @@
             assert failed < a.at <= 500.0 + NEXT_MS and a.at < 500.0 + TOLD_MS - 1000
 
 
+def test_where_lists_are_pushed_a_node_asks_at_once_and_again_at_once() -> None:
+    # Danger: what the agent has counts as told; a drain that it had at the start was heeded seconds later.
+    for n in range(40):
+        a = Asking(700.0, 300, WITHIN, draws(n, "ask"), pushed=True)
+        assert a.at == 700.0
+        for how in (Loss.REFUSED, Loss.REFUSED, Loss.ENDED, Loss.SILENT):
+            a.asked(a.at)
+            if how != Loss.REFUSED:
+                a.told()
+            assert 800.0 + 60 <= a.lost(800.0, how) <= 800.0 + 180
+        a.asked(800.0)
+        assert a.lost(800.0, Loss.REFUSED, 2000.0) >= 800.0 + 1500  # but discovery's own word is heeded
+
+
 def test_a_fleet_that_is_refused_spreads_its_calls_over_most_of_what_the_bound_leaves() -> None:
     nodes, at = fleet(300), []
     for a in nodes:
--- a/tests/test_crossings_discovery.py
+++ b/tests/test_crossings_discovery.py
@@ -123,6 +123,21 @@
         assert r.count("lists.asked") == 1
 
 
+def test_where_lists_are_pushed_the_first_list_and_each_after_a_loss_is_asked_for_at_once(
+    tmp_path: Path
+) -> None:
+    with Real(tmp_path, rules=RULES, discovery="pushed", balancers=200) as r:
+        call = r.discovery.accept(0.5)  # of 200 nodes, and a time for asking of 30 s
+        for _ in range(5):  # discovery is down, and then back
+            call.reset()
+            call = r.discovery.accept(0.5)
+        call.reset()
+        watch = r.watch(r.change(6, 0, health="terminating"))
+        r.until(lambda: r.count("lists.delta") == 1)
+        watch.reset()
+        assert r.discovery.dialled(0.5)
+
+
 def test_idle_clients_fill_the_descriptors_while_discovery_is_down(tmp_path: Path) -> None:
     with Real(tmp_path, limits={"memory_mb": 64, "sockets": 96}) as r:
         r.discovery.accept().reset()
