--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -217,7 +217,10 @@
         assert client.value() == (b"val" if how == "fin" else Fault(b"ERR failed"))
 
 
-@pytest.mark.parametrize("bad", [b"+what\r\n", b"*3\r\n$1\r\nvv\r\n", b"?", b"*99\r\n"])
+@pytest.mark.parametrize("bad", [
+    b"+what\r\n", b"*3\r\n$1\r\nvv\r\n", b"?", b"*99\r\n", b"-" + b"x" * 9000, b"$999999999999999\r\n",
+    b"*3\r\n$4194305\r\n",
+])  # fmt: skip
 def test_what_cannot_be_read_is_reset_before_the_next_transmission(tmp_path: Path, bad: bytes) -> None:
     with Real(tmp_path, 2, methods=METHODS) as r:
         client = ask(r, "r1")
