--- /dev/null
+++ b/tests/test_members_properties.py
@@ -0,0 +1,122 @@
+"""Members under whatever comes: the codec cut and turned anywhere, the state machine in any order."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from test_members import World
+
+from hookpitch.members.codec import BYTES_MOST, HEAD, KINDS, NAME_MOST, Codec
+from hookpitch.members.state import FACT_MOST, GOSSIP_MOST, MARKS, Members, Message, Record, State
+
+# The same examples each time: a run that finds something finds it again.
+SAME = settings(derandomize=True, database=None, deadline=None, suppress_health_check=list(HealthCheck))
+NAMES = st.text(min_size=1, max_size=NAME_MOST)
+COUNTS = st.integers(0, (1 << 62) - 1)
+RECORDS = st.builds(
+    Record, NAMES, st.tuples(NAMES, st.integers(0, 65535)), COUNTS, st.sampled_from(State),
+    st.text(max_size=NAME_MOST), COUNTS, st.binary(max_size=FACT_MOST),
+)  # fmt: skip
+MARKED = st.one_of(st.just(()), st.tuples(*[st.integers(0, 65535)] * MARKS))
+MESSAGES = st.builds(
+    Message, st.sampled_from(KINDS), NAMES, COUNTS, st.text(max_size=NAME_MOST),
+    st.lists(RECORDS, max_size=GOSSIP_MOST).map(tuple), st.booleans(), MARKED,
+)  # fmt: skip
+
+
+@settings(SAME, max_examples=150)
+@given(MESSAGES)
+def test_what_is_written_is_read_and_has_its_bounds(message: Message) -> None:
+    data = Codec("f").write(message)
+    back = Codec("f").read(data)
+    assert len(data) <= BYTES_MOST
+    assert back.news == message.news[: len(back.news)] and replace(back, news=message.news) == message
+    if len(back.news) < len(message.news):  # left out: the next would not have fitted
+        one_more = replace(message, news=message.news[: len(back.news) + 1])
+        assert len(Codec("f").write(one_more)) == len(data)
+
+
+@settings(SAME, max_examples=150)
+@given(MESSAGES, st.data())
+def test_a_datagram_cut_or_turned_at_any_byte_is_none(message: Message, data: st.DataObject) -> None:
+    codec = Codec("f")
+    whole = codec.write(message)
+    at = data.draw(st.integers(0, len(whole) - 1))
+    turned = bytearray(whole)
+    turned[at] ^= data.draw(st.integers(1, 255))
+    for bad in (whole[:at], bytes(turned), whole + b"x"):
+        with pytest.raises(ValueError, match="torn|foreign|version|wrong"):
+            codec.read(bad)
+
+
+@settings(SAME, max_examples=200)
+@given(st.binary(max_size=200), st.data())
+def test_whatever_body_comes_is_refused_in_a_word_or_within_bounds(body: bytes, data: st.DataObject) -> None:
+    codec = Codec("f")
+    if data.draw(st.booleans()):  # near to a true one
+        true = bytearray(codec.write(data.draw(MESSAGES))[HEAD.size :])
+        for _ in range(data.draw(st.integers(1, 3))):
+            true[data.draw(st.integers(0, len(true) - 1))] = data.draw(st.integers(0, 255))
+        body = bytes(true)
+    try:
+        m = codec.read(codec.write(Message("news", "m"))[:12] + codec._check(body) + body)
+    except ValueError as fault:
+        assert str(fault) == "wrong"
+        return
+    assert m.kind in KINDS and 0 < len(m.sender) <= NAME_MOST and len(m.marks) in (0, MARKS)
+    assert all(0 < len(r.name) <= NAME_MOST and len(r.fact) <= FACT_MOST for r in m.news)
+
+
+class Any(RuleBasedStateMachine):
+    """Three members: time, loss, repetition, any order, restarts. `World` checks its invariants at every
+    step: an incarnation never goes back, only its owner raises one, the dead do not return at theirs."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World()
+
+    @rule(n=st.integers(0, 2), ms=st.sampled_from([1.0, 250.0, 500.0, 2000.0, 4000.0, 20000.0]))
+    def time_passes(self, n: int, ms: float) -> None:
+        self.world.step(("tick", f"m{n}", ms))
+
+    @precondition(lambda self: self.world.flying)
+    @rule(what=st.sampled_from(["come", "lose", "twice"]), i=st.integers(0, 7))
+    def a_datagram(self, what: str, i: int) -> None:
+        self.world.step((what, i % len(self.world.flying)))
+
+    @rule()
+    def one_restarts(self) -> None:
+        self.world.step(("restart", "m1"))
+
+    @invariant()
+    def what_is_sent_is_bounded(self) -> None:
+        for _, _, message in self.world.flying:
+            assert len(Codec("f").write(message)) <= BYTES_MOST
+
+
+def test_no_order_of_events_breaks_an_invariant() -> None:
+    run_state_machine_as_test(Any, settings=settings(SAME, max_examples=150, stateful_step_count=50))
+
+
+def test_a_fault_put_in_on_purpose_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    right = Members._take
+
+    def wrong(self: Members, now: float, r: Record) -> None:
+        if r.name in self.members and r.name != self.name:
+            self.members[r.name].record = r  # old news, too
+        right(self, now, r)
+
+    monkeypatch.setattr(Members, "_take", wrong)
+    with pytest.raises(AssertionError, match="an incarnation went back|the dead returned"):
+        # Found is enough: it need not be the shortest history, nor the only fault.
+        found = settings(SAME, max_examples=100, stateful_step_count=40, phases=[Phase.generate],
+                         report_multiple_bugs=False, print_blob=False)  # fmt: skip
+        run_state_machine_as_test(Any, settings=found)
