--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -116,6 +116,12 @@
         assert a.at - now <= WITHIN / 2 + 300  # what was learnt of discovery's trouble does not stay
 
 
+def test_a_call_that_is_not_answered_has_failed_in_time() -> None:
+    (a,) = fleet(1)
+    a.asked(500.0)
+    assert a.at == 500.0 + WITHIN / 2
+
+
 @pytest.mark.parametrize("count", [1, 6, 60, 300, 5000])
 @pytest.mark.parametrize("within", [4000.0, 10000.0, 60000.0])
 def test_a_call_that_hung_is_followed_by_another_while_the_change_is_not_told_yet(count: int, within: float
