The origin's lowest limit is shared by the fleet: a lost origin is asked again within a second

Now the lowest limit is six over all nodes, a quarter at one. Both tests fail with the limit of before, by hand.

--- a/hookpitch/balancer/decisions.py
+++ b/hookpitch/balancer/decisions.py
@@ -35,8 +35,8 @@
 WAIT = 0.3  # of what is left: the longest stay in a line
 START_LIMIT = 2.0  # transmissions out at a server we know nothing of, or that is back on the path
 SAVED = 12.0  # RPCs of a share that a node may save up, however small its part of the quota
-ORIGIN_START, ORIGIN_MOST = 64.0, 12.0  # transmissions out at the origin at the start: over all nodes; at one
-LEAST = 1 / 64  # the lowest limit of the origin
+ORIGIN_START = 64.0, 12.0  # transmissions out at the origin at the start: over all nodes; at one
+ORIGIN_LEAST = 6.0, 1 / 4  # the lowest limit there: over all nodes; at one
 SHED_FROM = 0.2  # of what is within shares turned away or late: from here on less is let in
 ONE_OFF = (Outcome.SPOILT, Outcome.RESET)  # tells of one connection: the same server may be asked again
 STRIKES = 3  # failures in a row that take a server off the path
@@ -228,7 +228,7 @@
                 resized.append(s)
             s.zone, s.cell, s.size, s.kind = e.zone, e.cell, size, e.kind
             if e.kind == self.origin_kind and s.least == 1.0:
-                s.least, s.limit = LEAST, min(ORIGIN_MOST, ORIGIN_START / self.nodes)
+                s.least, s.limit = (min(one, n / self.nodes) for n, one in (ORIGIN_LEAST, ORIGIN_START))
             self._state(s, e.state)
         for s in self.servers.values() if kind != ListKind.DELTA else ():
             if s.id not in listed and s.listed != State.GONE:
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -1,6 +1,7 @@
 """Connections to caches and the origin on real sockets, where two events cross; see docs/crossings.md."""
 
 import fcntl
+import socket
 import struct
 import termios
 import time
@@ -234,3 +235,35 @@
             line.sock.recv(1)
         other.say(VALUE)
         assert client.value() == b"v"
+
+
+def test_an_origin_that_comes_back_as_it_has_failed_again_and_again_is_asked_within_a_second(
+    tmp_path: Path,
+) -> None:
+    with Real(tmp_path, 1, methods=[method("read", soft_s=0.2)]) as r:
+        at = ("127.0.0.1", r.origin.port)
+        client = ask(r, "r0", wait=900)
+        cache = r.caches[0].accept()
+        r.origin.listener.close()  # dials are refused from now on
+        n = failed = 0
+        while failed < 5:  # each makes the node rest for longer, down to its least
+            assert cache.value()[2] == b"r%d" % n
+            cache.say(MISS)
+            assert isinstance(client.value(), Fault)
+            n, failed = n + 1, r.count("tx.connect_failed")
+            client.say(get(f"r{n}", wait=900))
+        r.origin.listener = socket.create_server(at)  # it is back just now
+        began = time.monotonic()
+        while True:
+            assert cache.value()[2] == b"r%d" % n
+            cache.say(MISS)
+            if r.origin.dialled(0.05):
+                break
+            assert isinstance(client.value(), Fault)
+            assert time.monotonic() - began < 1.0, "it rests, and the origin is well"
+            n += 1
+            client.say(get(f"r{n}", wait=900))
+        origin = r.origin.accept()
+        origin.head()
+        origin.say(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv")
+        assert client.value() == b"v"
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -363,6 +363,24 @@
     assert 25.0 <= rest < 75.0 if nodes == 256 else rest <= 0.0
 
 
+@pytest.mark.parametrize(("nodes", "rest_ms"), [(1, 1100.0), (4, 1100.0), (24, 1100.0), (300, 16000.0)])
+def test_an_origin_that_is_not_reached_is_tried_by_the_fleet_and_not_by_each_node_some_times_a_second(
+    nodes: int, rest_ms: float
+) -> None:
+    # Danger: the few nodes of a small fleet rest as hundreds have to: 9 s, after a cut of 2 s had ended.
+    f, tried = fleet(2, nodes=nodes), list[float]()
+    for i in range(2400):
+        f.arrive(f"k{i}")
+        for _ in range(5):
+            for rpc, n in list(f.out):
+                lost = f.txs[rpc][n]["server"] == "o1"
+                tried += [f.now] if lost else []
+                f.end(rpc, Outcome.CONNECT_FAILED if lost else Outcome.MISS, n)
+            f.pass_time(10.0)
+    rests = [b - a for a, b in zip(tried, tried[1:], strict=False)]
+    assert max(rests) <= rest_ms and len(tried) * nodes / 120 < 50
+
+
 def test_what_is_given_up_has_its_answer_in_the_same_turn_and_a_time_to_come_back() -> None:
     # Danger: an answer held back so that its client does not ask again; it helps no one, and is not allowed.
     f, came, told = fleet(1, max_retry_after_ms=400.0), dict[str, float](), dict[str, tuple[float, float]]()
