The test of quotas sets the pressure that it means; its old line set nothing any more

Cause: the test says "nothing over a share is let in" by an attribute of the decisions (`spare`) that went with, so since then it held by the pressure that came of its timeouts.

--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -36,10 +36,9 @@
 
 def test_a_quota_under_one_rpc_a_window_still_lets_its_customer_in() -> None:
     f = node(300, customers=(Customer("small", 87.0),), max_retry_after_ms=400.0)
-    f.node.spare = 0.0  # nothing over a share is let in
     for i in range(40):
         f.pass_time(5000.0)
-        f.node.spare = 0.0
+        f.node.pressure = 1.0  # nothing over a share is let in
         f.end(f.arrive(f"k{i}", customer="small"), Outcome.COMPLETED)  # fails where it was exhausted
 
 
@@ -47,9 +46,10 @@
     f = node(1, customers=(Customer("big", 1.0),))
     sent = 0
     for i in range(60):
-        f.node.spare = 0.0
+        f.node.pressure = 1.0  # nothing over a share is let in
         rpc = f.arrive(f"k{i}", customer="big")
         sent += bool(f.txs[rpc])
+        assert not f.txs[rpc] or not f.node.rpcs[rpc].over
         f.pass_time(500.0)
         if (rpc, 0) in f.out:
             f.end(rpc, Outcome.TIMEOUT)
