Members: a list of cache servers from a member; changes that no view had; accusations in vain

A node that discovery has told nothing asks members for their list (lists.py: no I/O, parts of 900 bytes with a digest of the whole); it is given to the node as one known at its start, sets no version, and discovery is asked for the whole.

--- a/hookpitch/members/codec.py
+++ b/hookpitch/members/codec.py
@@ -17,13 +17,13 @@
 
 import msgspec
 
-from hookpitch.members.state import FACT_MOST, MARKS, Message, Record, State
+from hookpitch.members.state import DATA_MOST, FACT_MOST, MARKS, Message, Record, State
 
 MAGIC, FORMAT = b"HKM", 1
 HEAD = struct.Struct(">3sB8s8s")
 BYTES_MOST = 1200
 NAME_MOST = 100
-KINDS = ("probe", "answer", "ask", "news", "digest")
+KINDS = ("probe", "answer", "ask", "news", "digest", "wish", "list")
 
 
 class Codec:
@@ -36,7 +36,7 @@
         news = [(r.name, r.address[0], r.address[1], r.incarnation, int(r.state), r.accuser, r.count, r.fact)
                 for r in m.news]  # fmt: skip
         while True:
-            fields = [KINDS.index(m.kind), m.sender, m.number, m.of, m.whole, news, m.marks]
+            fields = [KINDS.index(m.kind), m.sender, m.number, m.of, m.whole, news, m.marks, m.data]
             body = msgspec.msgpack.encode(fields)
             if len(body) + HEAD.size <= BYTES_MOST or not news:
                 return HEAD.pack(MAGIC, FORMAT, self.fleet, self._check(body)) + body
@@ -59,8 +59,10 @@
             raise ValueError("torn")
         try:
             kind, sender, number, of, whole, news, *more = msgspec.msgpack.decode(body)
-            marks = tuple(more[0]) if more else ()  # an earlier version tells none
+            marks, data, *_ = *more, *((), b"")[len(more) :]  # earlier versions tell neither
+            marks = tuple(marks)
             _fits(len(marks) in (0, MARKS) and all(type(m) is int and 0 <= m < 1 << 16 for m in marks))
+            _fits(type(data) is bytes and len(data) <= DATA_MOST)
             name = lambda x: type(x) is str and 0 < len(x) <= NAME_MOST  # noqa: E731
             count = lambda x: type(x) is int and 0 <= x < 1 << 62  # noqa: E731
             records = tuple(
@@ -73,7 +75,7 @@
             _fits(type(whole) is bool and type(kind) is int and 0 <= kind < len(KINDS))
         except (msgspec.MsgspecError, ValueError, TypeError) as fault:
             raise ValueError("wrong") from fault
-        return Message(KINDS[kind], sender, number, of, records, whole, marks)
+        return Message(KINDS[kind], sender, number, of, records, whole, marks, data)
 
 
 def _fits(holds: bool) -> bool:
--- a/hookpitch/members/port.py
+++ b/hookpitch/members/port.py
@@ -5,16 +5,19 @@
     fleet = "sydney"
     seeds = ["10.0.0.5:7946", "10.0.0.6:7946"]     # some that are usually up
 
-    [members.dial]                                 # where an address that others tell is found, if elsewhere
+    [members.dial]                                 # where what others tell (a member, a server) is found,
+                                                   # if elsewhere
     "10.9.0.7:7946" = "10.0.0.7:7946"
 
 The state machine decides (`state.py`), the codec reads and writes (`codec.py`); here datagrams become calls
-and calls datagrams. Invariants: nothing that comes raises; at most `RATE_MOST` datagrams are read a second,
-more are let go and counted.
+and calls datagrams. A node that discovery has told nothing gets its list from a member (`lists.py`): it is
+given to the node as a list known at its start, and discovery is then asked for the whole. Invariants: nothing
+that comes raises; at most `RATE_MOST` datagrams are read a second, more are let go and counted.
 """
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -22,14 +25,20 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import DatagramProtocol
 
+from hookpitch.balancer.interface import Entry
+from hookpitch.balancer.interface import State as Listed
 from hookpitch.core.chance import draws
 from hookpitch.members.codec import Codec
-from hookpitch.members.state import Address, Members
+from hookpitch.members.lists import Held, Lists, Taken
+from hookpitch.members.state import Address, Members, State
 from hookpitch.net.clock import Clock
+from hookpitch.net.discovery import STATES, read
+from hookpitch.startup.asking import FAR
 
 RATE_MOST = 2000  # datagrams read a second: a flood costs no more than that
 AGAIN_MS = 500.0  # until the next try where the address is still held by the process before
 ODD_LOGGED = 3
+HEALTH = {state: word for word, state in STATES.items()}  # as discovery has it
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,12 +83,17 @@
     noisy = False
 
     def __init__(self, told: Settings, name: str, seed: int, clock: Clock, log: Callable[..., None],
-                 count: Callable[[str], None]) -> None:  # fmt: skip
+                 count: Callable[[str], None], node: Any = None) -> None:  # noqa: ANN401  # fmt: skip
+        """`node`: whose list of cache servers others may ask for, and which asks others for theirs."""
         self.told, self.clock, self.count, self.codec = told, clock, count, Codec(told.fleet)
+        self.node = node
         self.log = lambda text: log("members", what=text)
         # Danger: processes of one node that draw alike. The moment of the start makes them differ.
         self.members = Members(clock.now(), name, told.listen, told.seeds,
                                draws(seed ^ int(clock.now()), "members"), self.log)  # fmt: skip
+        self.lists = Lists(clock.now(), name, draws(seed ^ int(clock.now()), "lists"), count)
+        self.version = 0  # of the list taken
+        self.waiting: tuple[list[Entry], dict[str, str]] | None = None  # taken, and not given yet
         self.listening: Any = None
         self._second, self._read, self._odd = 0, 0, 0
 
@@ -95,12 +109,18 @@
     def tick(self, now: float) -> None:
         if self.listening is None:
             return
-        self.members.tick(now)
+        if now >= self.members.due:
+            self.members.tick(now)
+        due = self.members.due
+        if self.node is not None:
+            due = min(due, self.lists.tick(now, self.held(), self._others()))
+            self._give()
         self.flush()
-        self.clock.deadlines.add(self.members.due, self.tick)
+        self.clock.deadlines.add(max(due, now + 1.0), self.tick)
 
     def flush(self) -> None:
-        out, self.members.out = self.members.out, []
+        out, self.members.out = self.members.out + self.lists.out, []
+        self.lists.out = []
         for to, message in out:
             try:
                 self.transport.write(self.codec.write(message), self.told.dial.get(to, to))
@@ -124,8 +144,70 @@
                 self.log(f"a datagram from {addr[0]}:{addr[1]} is {why}")
             return
         self.members.heard(now, addr[:2], message)
+        if self.node is not None and message.kind == "wish":
+            self.lists.wished(now, addr[:2], message, self.held(), self._list)
+        elif self.node is not None and message.kind == "list":
+            taken = self.lists.came(now, addr[:2], message, self.held())
+            if taken is not None:
+                self._take(taken)
         self.flush()
 
+    # ---- lists of cache servers
+
+    def held(self) -> Held:
+        discovery, counts = self.node.discovery, self.node.host.counters.counts
+        told = "lists.full" in counts or "lists.delta" in counts
+        return Held(max(discovery.seq, self.version), told, told and discovery.asking.at == FAR)
+
+    def _others(self) -> list[Address]:
+        """Who may be asked for a list: all that live, as others tell of them, and the seeds."""
+        known = [m.record.address for m in self.members.members.values() if m.record.state == State.ALIVE]
+        return [a for a in dict.fromkeys((*self.told.seeds, *known)) if a != self.told.listen]
+
+    def _list(self) -> bytes:
+        """What this node holds, in discovery's own words."""
+        host, dials, kinds = self.node.host, self.node.pools.dials(), self.node.host.deployment.kinds
+        hosts = [
+            {"host": s.id, "dial": dials[s.id], "site": s.zone, "block": s.cell, "share": s.size,
+             "born_ms": max(0.0, s.started), "health": HEALTH[s.listed],
+             "class": kinds[s.kind] if 0 <= s.kind < len(kinds) else ""}
+            for s in host.node.servers.values() if s.id in dials and s.listed != Listed.GONE
+        ]  # fmt: skip
+        return json.dumps({"seq": self.node.discovery.seq, "whole": True, "hosts": hosts}).encode()
+
+    def _take(self, taken: Taken) -> None:
+        try:
+            d = self.node.host.deployment
+            version, whole, entries, dials = read(taken.text, d.kinds)
+            ready = any(e.state == Listed.READY and e.kind != d.origin_kind for e in entries)
+            if version != taken.version or not whole or not ready:
+                raise ValueError("no list to begin with")
+        except ValueError as why:
+            self.count("members.lists_wrong")
+            self.log(f"a list from {taken.source[0]}:{taken.source[1]} is wrong: {why}")
+            return
+        self.count("members.lists_taken")
+        self.log(f"list {version} from {taken.source[0]}:{taken.source[1]}, {taken.age:.0f} ms old, "
+                 f"servers {len(entries)}")  # fmt: skip
+        self.version, self.waiting = version, (entries, {id: self._found(at) for id, at in dials.items()})
+        self._give()
+
+    def _found(self, told: str) -> str:
+        """Where a server that another member tells of is dialled from here."""
+        host, _, port = told.rpartition(":")
+        there = self.told.dial.get((host.strip("[]"), int(port)))
+        return told if there is None else f"{there[0]}:{there[1]}"
+
+    def _give(self) -> None:
+        """The node serves by a member's list until discovery tells one."""
+        # Danger: a call that is out asked for changes since the list of before; they would be put on this
+        # one, and what it has wrong would stay. Once it has failed, the next asks for the whole.
+        if self.waiting is None or self.node.discovery.current is not None:
+            return
+        (entries, dials), self.waiting = self.waiting, None
+        if not self.held().told:
+            self.node.known(0, entries, dials)
+
     def leave(self) -> None:
         """Say goodbye; datagrams that come are heard no more."""
         if self.listening is not None and not self.members.leaving:
@@ -152,6 +234,6 @@
 def attach(told: Settings, node: Any) -> Port:  # noqa: ANN401
     """A node becomes a member as it serves, and says goodbye as it leaves."""
     d = node.post.deployment
-    port = Port(told, node.post.name, d.seed, node.clock, node.logger.info, node.host.counters.add)
+    port = Port(told, node.post.name, d.seed, node.clock, node.logger.info, node.host.counters.add, node)
     node.peers = port
     return port
--- a/hookpitch/members/state.py
+++ b/hookpitch/members/state.py
@@ -34,6 +34,7 @@
 SUSPECT_LONGEST = 2.0  # times as long, where nobody else confirms it
 CONFIRMED = 2  # others that suspect the same; from here on the shortest
 SLOW_MOST = 4  # the most by which a member trusts itself less: its times are 1 + this many times as long
+DEAF_MS = 3000.0  # with no datagram from anybody: what others refuted meanwhile has not been heard
 LATE_MS = 250.0  # a tick so much late: this member was stopped, or its loop stands
 REPEAT = 3.0  # times log2 of the fleet that a change is told on
 PUSHED = 2  # members that a change is told at once, by each that hears of it, at its next tick
@@ -43,11 +44,15 @@
 MARKS = 32  # parts of all that is known that are compared by themselves, so that only what differs is told
 REACH_MS = 5000.0  # between two tries to reach one that is dead, or a seed, in case a cut has ended
 KEPT_MS = 600000.0  # a dead or left member's record, so that older news of it changes nothing
-FLAPS, FLAP_MS = 3, 60000.0  # so many returns in so long, and a member is held as suspected (`flapping`),
+FLAPS, FLAP_MS = 3, 60000.0  # so many returns in so long, and a member is left out of views (`flapping`),
 HELD_MS = 30000.0  # until it has been well for so long
+VAIN, VAIN_MS = 3, 180000.0  # so many refuted accusations of one by one in so long: its way there is cut,
+SPARED_MS = 120000.0  # and it leaves that one to others for so long
 CLASHES, CLASH_MS = 3, 10000.0  # that another claims this member's name in so long: this one falls silent
 QUIET_MS, LONGEST_MS = 1000.0, 5000.0  # a view changes once nothing has for so long, or so long at most
+MEMBERS_MOST = 2000  # records that are kept
 FACT_MOST = 64  # bytes
+DATA_MOST = 1000  # bytes
 FIRST_MOST = 1000  # incarnations that a process may begin at
 FAR = float("inf")
 Address = tuple[str, int]
@@ -83,13 +88,14 @@
     """One datagram: a probe, an answer, a wish that another be probed, news alone, or a digest. `number` ties
     an answer to its probe; `of` names who is to be probed, or was."""
 
-    kind: str  # probe, answer, ask, news, digest (the number tells of all that its sender knows)
+    kind: str  # probe, answer, ask, news, digest (the number tells of all that its sender knows), wish, list
     sender: str
     number: int = 0
     of: str = ""
     news: tuple[Record, ...] = ()
     whole: bool = False  # the sender tells all that it knows, and wants to be told
     marks: tuple[int, ...] = ()  # of each part of what it knows; then only parts that differ are meant
+    data: bytes = b""  # of a wish for a list, or of a part of one (`lists.py`)
 
 
 @dataclass(slots=True)
@@ -99,6 +105,8 @@
     accusers: dict[str, None] = field(default_factory=dict)
     seen: float = 0.0  # when a datagram of its own last came
     returns: deque[float] = field(default_factory=lambda: deque(maxlen=FLAPS))
+    # When accusations of it by this member were refuted.
+    cleared: deque[float] = field(default_factory=lambda: deque(maxlen=VAIN))
     held: float = -FAR  # as flapping, since
 
 
@@ -117,7 +125,8 @@
     number: int
     at: float
     tries: int = 1
-    asked: bool = False  # others were asked
+    asked: tuple[str, ...] = ()  # others that were asked to
+    waited: bool = False  # long enough for a direct answer: again, and by those others
     answered: bool = False
 
 
@@ -131,6 +140,7 @@
         self.members: dict[str, Member] = {name: Member(first, now)}
         self.counts: dict[str, int] = {}
         self.slow, self.silent, self.leaving, self._urgent = 0, False, False, False
+        self._path = ""  # by which news of a suspect came here, for the log
         self._order: list[str] = []
         self._watched: dict[str, None] = {}  # who is not simply alive
         self._news: dict[str, int] = {}  # by member: how often its record has been told on
@@ -141,7 +151,8 @@
         self.due = now + PERIOD_MS * chance()
         self._sync_at, self._reach_at, self._sync_span = now, now, SYNC_MS[0]
         self._clashes: deque[float] = deque(maxlen=CLASHES)
-        self._changed_at = self._settled_at = now
+        self._heard_at = now  # from anybody
+        self._changed_at, self._unsettled = now, FAR  # the last change, and the first that no view has
         self._full = 1
         self.view = View(0, (name,), 1.0)
 
@@ -204,12 +215,13 @@
             return
         scale = 1 + self.slow
         probe = self._probe
-        if probe is not None and not (probe.asked or probe.answered) and now >= probe.at + DIRECT_MS * scale:
-            probe.asked = True
+        if probe is not None and not (probe.waited or probe.answered) and now >= probe.at + DIRECT_MS * scale:
+            probe.waited = True
+            probe.asked = tuple(self._some(INDIRECT, (probe.of,)))
             target = self.members[probe.of].record
             told = (target,) if target.state == State.SUSPECTED else ()
             self._say(probe.of, Message("probe", self.name, probe.number, probe.of, told))
-            for other in self._some(INDIRECT, (probe.of,)):
+            for other in probe.asked:
                 self._say(other, Message("ask", self.name, probe.number, probe.of, (target,)))
         if probe is None or now >= probe.at + PERIOD_MS * scale:
             if probe is None or probe.answered:
@@ -220,7 +232,7 @@
                 self._begin_probe(now, probe)
             else:
                 self.slow = min(SLOW_MOST, self.slow + 1)
-                self._accuse(now, probe.of)
+                self._accuse(now, probe.of, probe.asked)
                 self._begin_probe(now)
         self._wishes = {n: w for n, w in self._wishes.items() if w[0] > now}
         for name in list(self._watched):
@@ -232,7 +244,7 @@
             elif m.held > -FAR and now - m.held > HELD_MS:
                 m.held = -FAR
                 m.returns.clear()
-                self._changed_at = now
+                self._change(now)
             elif m.record.state == State.ALIVE and m.held == -FAR:
                 del self._watched[name]
         if now >= self._sync_at:
@@ -250,7 +262,7 @@
         self._settle(now)
         self.due = now + PERIOD_MS / 2
         if (probe := self._probe) is not None:
-            asks = not (probe.asked or probe.answered)
+            asks = not (probe.waited or probe.answered)
             next_ = probe.at + (DIRECT_MS if asks else PERIOD_MS) * (1 + self.slow)
             self.due = max(now + 1.0, min(next_, self.due))
 
@@ -283,12 +295,20 @@
         grown = max(1.0, log2(max(2, len(self.members))) / 9)  # SUSPECT_MS is meant for up to 512
         return SUSPECT_MS * grown * (1 + (SUSPECT_LONGEST - 1) * spare) * (1 + self.slow / 2)
 
-    def _accuse(self, now: float, name: str) -> None:
+    def _accuse(self, now: float, name: str, asked: tuple[str, ...] = ()) -> None:
+        """No answer to this member's own probes, nor by the detours through those that were asked."""
         m = self.members.get(name)
         if m is None or m.record.state > State.SUSPECTED:
             return
+        often = len(m.cleared) == VAIN and m.cleared[-1] - m.cleared[0] < VAIN_MS + SPARED_MS
+        if often and now - m.cleared[-1] < SPARED_MS:
+            # Danger: a cut one way between the two, and a member that all hear is accused for ever.
+            self._count("held_back")
+            return
         self._count("accusations")
+        self._path = f"no answer here nor to {' '.join(asked)}" if asked else "no answer here"
         self._take(now, replace(m.record, state=State.SUSPECTED, accuser=self.name))
+        self._path = ""
 
     # ---- datagrams
 
@@ -296,10 +316,18 @@
         if self.silent or message.sender == self.name:
             return
         sender = self.members.get(message.sender)
+        if now - self._heard_at > DEAF_MS:
+            # Danger: those who refuted long since, unheard, are called dead just as they are heard again.
+            self._count("deaf")
+            for name in self._watched:
+                self.members[name].since = now
+        self._heard_at = now
         if sender is not None:
             sender.seen = now
         for record in message.news:
+            self._path = f"told by {message.sender}" if record.accuser not in ("", message.sender) else ""
             self._take(now, record)
+            self._path = ""
             known = sender.record.incarnation if sender is not None else 0
             if record.name == message.sender and known > record.incarnation:
                 # A new process under that name, which does not know what the one before it had come to.
@@ -349,6 +377,9 @@
             return self._of_me(now, r)
         m = self.members.get(r.name)
         if m is None:
+            if len(self.members) >= MEMBERS_MOST and not self._room():
+                self._count("crowded")
+                return
             if r.state >= State.DEAD:
                 self.members[r.name] = Member(r, now)  # so that older news of it changes nothing
                 self._watched[r.name] = None
@@ -376,9 +407,23 @@
         m.record = r
         self._turned(now, m, old)
 
+    def _room(self) -> bool:
+        """One that has been gone for longest is forgotten for a newcomer."""
+        # Danger: forged names, or a fleet that is made anew again and again, fill the memory.
+        gone = [n for n in self._watched if self.members[n].record.state >= State.DEAD]
+        if gone:
+            oldest = min(gone, key=lambda n: self.members[n].since)
+            del self.members[oldest], self._watched[oldest]
+            self._news.pop(oldest, None)
+        return bool(gone)
+
     def _turned(self, now: float, m: Member, old: Record | None) -> None:
         r = m.record
         m.since = now
+        if r.state == State.ALIVE and self.name in m.accusers:
+            m.cleared.append(now)
+            if len(m.cleared) == VAIN and now - m.cleared[0] < VAIN_MS:
+                self.log(f"{r.name} was accused from here {VAIN} times in vain: left to others")
         m.accusers = {r.accuser: None} if r.state == State.SUSPECTED else {}
         if r.state != State.ALIVE:
             self._watched[r.name] = None
@@ -393,9 +438,11 @@
                     self._watched[r.name] = None
             self._count(r.state.name.lower())
             by = f" by {r.accuser}" if r.accuser else ""
-            self.log(f"{r.name} {r.state.name.lower()}{by}, incarnation {r.incarnation}")
+            path = f", {self._path}" if self._path and r.state != State.ALIVE else ""
+            self.log(f"{r.name} {r.state.name.lower()}{by}{path}, incarnation {r.incarnation}")
         self._tell(r.name)
-        self._changed_at, self._urgent = now, True
+        self._change(now)
+        self._urgent = True
 
     def _of_me(self, now: float, r: Record) -> None:
         mine = self.members[self.name]
@@ -482,12 +529,15 @@
 
     # ---- the view
 
+    def _change(self, now: float) -> None:
+        self._changed_at, self._unsettled = now, min(self._unsettled, now)
+
     def _settle(self, now: float) -> None:
-        if self._changed_at <= self._settled_at:
-            return
-        if now - self._changed_at < QUIET_MS and now - self._settled_at < LONGEST_MS:
+        # Danger: a change in the very moment of a settling, or the first after a long calm: the one was
+        # never in a view, and the other in one of its own, before the rest of what fails with it.
+        if now < min(self._changed_at + QUIET_MS, self._unsettled + LONGEST_MS) or self._unsettled == FAR:
             return
-        self._settled_at = now
+        self._unsettled = FAR
         who = tuple(n for n in self.alive() if self.members[n].held == -FAR)
         gone = sum(m.record.state == State.DEAD for m in self.members.values())
         if who != self.view.members:
--- /dev/null
+++ b/tests/test_member_lists.py
@@ -0,0 +1,386 @@
+"""Lists of cache servers from another member: what is asked, told, taken; a node that lives by one."""
+
+import json
+import random
+import socket
+from pathlib import Path
+
+import msgspec
+import pytest
+from fleet import get
+from hypothesis import given
+from hypothesis import strategies as st
+from peers import VALUE, Line, Real, method, tell
+from test_members_properties import SAME
+
+from hookpitch.core.resp import Fault
+from hookpitch.members.codec import BYTES_MOST, Codec
+from hookpitch.members.lists import PARTS_A_SECOND, PLAIN_MOST, Held, Lists, Taken, digest
+from hookpitch.members.state import Message
+
+A, B, C = ("10.0.0.1", 7), ("10.0.0.2", 7), ("10.0.0.3", 7)
+NOTHING = Held(0, False, False)
+SEED = 17  # whose draws put the first call to discovery late, of 400 nodes
+TEXT = json.dumps([random.Random(n).random() for n in range(2000)]).encode()  # many parts
+
+
+class Pair:
+    """One that asks, and tellers by address; what is on its way stands in `flying`."""
+
+    def __init__(self, seed: int = 1, **tellers: tuple[Held, bytes]) -> None:
+        self.rng, self.now, self.counts = random.Random(seed), 0.0, dict[str, int]()
+        self.asker = Lists(0.0, "n0", self.rng.random, self.count)
+        self.at = {A: tellers.get("a"), B: tellers.get("b")}
+        self.tellers = {at: Lists(0.0, f"n{at}", self.rng.random, self.count) for at in self.at}
+        self.held, self.taken = NOTHING, list[Taken]()
+        self.flying: list[tuple[tuple, tuple, Message]] = []  # from, to
+
+    def count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def tick(self, ms: float = 1000.0) -> None:
+        self.now += ms
+        self.asker.tick(self.now, self.held, [at for at, told in self.at.items() if told])
+        self.flying += [(C, to, message) for to, message in self.asker.out]
+        self.asker.out = []
+
+    def come(self, n: int = 0, keep: bool = False) -> None:
+        source, to, message = self.flying[n] if keep else self.flying.pop(n)
+        data = Codec("f").write(message)
+        assert len(data) <= BYTES_MOST and Codec("f").read(data) == message
+        if to == C:
+            taken = self.asker.came(self.now, source, message, self.held)
+            if taken is not None:
+                self.taken.append(taken)
+                self.held = Held(taken.version, False, False)
+            return
+        told, text = self.at[to]
+        self.tellers[to].wished(self.now, source, message, told, lambda: text)
+        self.flying += [(to, source, m) for _, m in self.tellers[to].out]
+        self.tellers[to].out = []
+
+    def all(self) -> None:
+        while self.flying:
+            self.come()
+
+
+FRESH = Held(9, True, True)
+STEPS = ["tick", "come", "lose", "twice", "newer", "told"]
+
+
+def test_a_list_in_many_parts_comes_whole_and_what_lacks_is_asked_for_alone() -> None:
+    p = Pair(a=(FRESH, TEXT))
+    p.tick(0.0)
+    p.come()  # the wish
+    assert len(p.flying) == 4  # what one who knows of no list is told at first
+    del p.flying[1]
+    p.all()
+    p.tick()
+    p.come()
+    assert len(p.flying) > 8 and not p.taken
+    p.all()
+    (taken,) = p.taken
+    assert (taken.version, taken.text, taken.source) == (9, TEXT, A)
+    p.all()
+    p.tick(5000.0)
+    p.all()
+    assert len(p.taken) == 1, "what is no newer is not told"
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.2, 0.5])
+def test_lists_come_over_lossy_links_in_any_order_and_more_than_once(loss: float) -> None:
+    for seed in range(20):
+        p = Pair(seed, a=(FRESH, TEXT), b=(Held(9, True, True), TEXT))
+        for _ in range(300):
+            p.tick(400.0)
+            p.rng.shuffle(p.flying)
+            while p.flying:
+                lost = p.rng.random() < loss
+                if lost:
+                    p.flying.pop()
+                else:
+                    p.come(-1, keep=p.rng.random() < 0.2)
+            if p.taken:
+                break
+        assert [t.text for t in p.taken] == [TEXT], seed
+
+
+def test_parts_of_two_lists_are_not_mixed_and_the_newer_goes() -> None:
+    p = Pair(a=(FRESH, TEXT), b=(Held(10, True, True), TEXT[::-1]))
+    p.tick(0.0)
+    p.come()
+    p.come()
+    p.all()
+    p.tick()
+    p.all()
+    p.tick()
+    p.all()
+    assert p.taken[-1].text == TEXT[::-1] and all(t.text in (TEXT, TEXT[::-1]) for t in p.taken)
+    # The teller's list changes between two wishes for parts: it begins anew.
+    p = Pair(a=(FRESH, TEXT))
+    p.tick(0.0)
+    p.all()
+    p.at[A] = (Held(11, True, True), TEXT[::-1])
+    for _ in range(4):
+        p.tick()
+        p.all()
+    assert [(t.version, t.text) for t in p.taken] == [(11, TEXT[::-1])]
+
+
+@pytest.mark.parametrize(("there", "here"), [
+    (Held(9, False, False), NOTHING),  # it was told by no discovery
+    (FRESH, Held(9, False, False)), (FRESH, Held(10, False, False)),  # what is held is as new
+])  # fmt: skip
+def test_what_is_hearsay_or_no_newer_is_not_told(there: Held, here: Held) -> None:
+    p = Pair(a=(there, TEXT))
+    p.held = here
+    p.tick(0.0)
+    p.all()
+    p.tick()
+    p.all()
+    assert not p.taken and "members.lists_told" not in p.counts
+
+
+def test_a_list_whose_teller_has_long_not_heard_discovery_is_not_told() -> None:
+    p = Pair(a=(FRESH, b"[]"))
+    p.tellers[A].tick(0.0, FRESH, [])
+    p.at[A] = (Held(9, True, False), b"[]")
+    p.tick(29000.0)
+    p.all()
+    assert p.taken[0].age >= 29000.0
+    p = Pair(a=(Held(9, True, False), b"[]"))
+    p.tick(31000.0)
+    p.all()
+    assert not p.taken
+
+
+def test_once_discovery_has_told_nothing_is_asked_and_nothing_taken() -> None:
+    p = Pair(a=(FRESH, b"[]"))
+    p.tick(0.0)
+    p.come()
+    p.held = Held(3, True, True)  # discovery came first
+    p.all()
+    p.tick(60000.0)
+    assert not p.taken and not p.flying
+
+
+def test_a_flood_of_wishes_costs_a_bounded_part() -> None:
+    p = Pair(a=(FRESH, TEXT))
+    packs = [0]
+
+    def text() -> bytes:
+        packs[0] += 1
+        return TEXT
+
+    wish = Message("wish", "n9", data=msgspec.msgpack.encode((0, b"", (1 << 62) - 1)))
+    for _ in range(3000):
+        p.tellers[A].wished(5000.0, B, wish, FRESH, text)
+    assert len(p.tellers[A].out) == PARTS_A_SECOND and packs[0] == 1 and p.counts["members.lists_busy"] > 2000
+
+
+def made(version: object = 9, age: object = 0.0, whole: object = None, n: object = 0, count: object = 1,
+         part: object = b"x") -> Message:  # fmt: skip
+    whole = digest(part) if whole is None else whole
+    return Message("list", "n1", data=msgspec.msgpack.encode((version, age, whole, n, count, part)))
+
+
+def test_what_is_torn_spoilt_or_unpacks_to_too_much_is_none() -> None:
+    import zlib
+
+    bomb = zlib.compress(b"\0" * (PLAIN_MOST + 1), 9)
+    for message in (made(part=bomb[:900], whole=digest(bomb)), made(part=zlib.compress(b"[]")[:-2]), made(),
+                    made(whole=b"12345678"), made(version=-1), made(version="9"), made(age=-1.0), made(n=1),
+                    made(count=65), made(part=b""), made(part=b"x" * 901, whole=b"12345678"),
+                    made(age=float("nan")), Message("list", "n1", data=b"\xff"),
+                    Message("list", "n1")):  # fmt: skip
+        p = Pair()
+        assert p.asker.came(0.0, A, message, NOTHING) is None, message
+    p = Pair()
+    parts = [bomb[n : n + 900] for n in range(0, len(bomb), 900)]
+    for n, part in enumerate(parts):
+        m = made(part=part, n=n, count=len(parts), whole=digest(bomb))
+        assert p.asker.came(0.0, A, m, NOTHING) is None
+    assert p.counts["members.lists_wrong"] == 1
+
+
+@pytest.mark.parametrize("data", [
+    b"", b"\xff", *(msgspec.msgpack.encode(x) for x in ((1, 2), (-1, b"", 1), (0, "", 1), (0, b"", 1 << 63))),
+])  # fmt: skip
+def test_a_wish_that_is_none_is_counted(data: bytes) -> None:
+    p = Pair()
+    p.tellers[A].wished(0.0, B, Message("wish", "n9", data=data), FRESH, lambda: TEXT)
+    assert p.counts == {"members.lists_wrong": 1} and not p.tellers[A].out
+
+
+@SAME
+@given(st.lists(st.tuples(st.sampled_from(STEPS), st.integers(0, 30)), max_size=60), st.integers(0, 99))
+def test_whatever_comes_versions_rise_and_lists_are_whole(steps: list[tuple[str, int]], seed: int) -> None:
+    texts = {9: TEXT, 10: TEXT[::-1]}
+    p = Pair(seed, a=(FRESH, TEXT), b=(Held(10, True, True), TEXT[::-1]))
+    for what, n in steps:
+        if what == "tick":
+            p.tick(100.0 * n)
+        elif what == "newer":
+            version = p.at[A][0].version + 1
+            texts[version] = TEXT[n:]
+            p.at[A] = (Held(version, True, True), texts[version])
+        elif what == "told":
+            p.held = Held(p.held.version, n > 25 or p.held.told, False)
+        elif p.flying:
+            at = n % len(p.flying)
+            before = len(p.taken)
+            told = p.held.told
+            p.flying.pop(at) if what == "lose" else p.come(at, keep=what == "twice")
+            assert len(p.taken) == before or not told
+        versions = [t.version for t in p.taken]
+        assert versions == sorted(set(versions))
+        assert all(t.text == texts.get(t.version) or t.version > 9 for t in p.taken)
+    assert all(t.text in texts.values() for t in p.taken)
+
+
+# ---- a node's process, and a member under the test's control
+
+
+class Member:
+    """A member's socket: it reads wishes, and tells what the test says."""
+
+    def __init__(self) -> None:
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.settimeout(15.0)
+        self.codec = Codec("f")
+        self.node: tuple[str, int] = ("", 0)
+
+    @property
+    def at(self) -> str:
+        return f"127.0.0.1:{self.sock.getsockname()[1]}"
+
+    def wish(self) -> tuple:
+        """The next wish for a list: version held, digest, mask."""
+        while True:
+            data, self.node = self.sock.recvfrom(65536)
+            message = self.codec.read(data)
+            if message.kind == "wish":
+                return tuple(msgspec.msgpack.decode(message.data))
+
+    def tell(self, text: dict, version: int | None = None, age: float = 0.0) -> None:
+        import zlib
+
+        packed = zlib.compress(json.dumps(text).encode())
+        parts = [packed[n : n + 900] for n in range(0, len(packed), 900)]
+        for n, part in enumerate(parts):
+            whole = text["seq"] if version is None else version, age, digest(packed), n, len(parts), part
+            message = Message("list", "n9", data=msgspec.msgpack.encode(whole))
+            self.sock.sendto(self.codec.write(message), self.node)
+
+
+def real(folder: Path, caches: int = 2, first: str = "list") -> tuple[Real, Member]:
+    """`first`: a member's list before the call to discovery is due (4 s after the start), or the call."""
+    nodes = 400 if first == "list" else 1
+    r, member = Real(folder, caches, methods=[method("read")], balancers=nodes), Member()
+    r.told["seed"] = SEED
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+        free.bind(("127.0.0.1", 0))
+        own = f"127.0.0.1:{free.getsockname()[1]}"
+    (folder / "own.toml").write_text(f'[members]\nlisten = "{own}"\nfleet = "f"\nseeds = ["{member.at}"]\n')
+    r.environment["HOOKPITCH_CONFIG"] = str(folder / "own.toml")
+    r.told["known"] = {"seq": 5, "whole": True, "hosts": []}
+    r.write()
+    return r, member
+
+
+def served(r: Real, id: str) -> int:
+    """Which cache it goes to."""
+    client = r.client()
+    client.say(get(id, wait=5000))
+    n, line = r.asked()
+    assert line.value()[2] == id.encode()
+    line.say(VALUE)
+    assert client.value() == b"v"
+    line.close()
+    return n
+
+
+def since(r: Real) -> bytes:
+    return r.since.partition(b"since=")[2].split()[0]
+
+
+def told(r: Real, seq: int, *without: int, **health: str) -> dict:
+    some = [h for n, h in enumerate(r.hosts) if n not in without]
+    hosts = [h | {"health": health.get(h["host"], h["health"])} for h in some]
+    return {"seq": seq, "whole": True, "hosts": hosts}
+
+
+def test_a_node_serves_by_a_members_list_and_then_asks_discovery_for_the_whole(tmp_path: Path) -> None:
+    r, member = real(tmp_path)
+    with r:
+        assert member.wish()[0] == 5
+        member.tell(told(r, 9, 1))
+        r.log("members")
+        r.until(lambda: r.count("lists.cached") == 2)
+        assert served(r, "r1") == 0  # discovery has said nothing yet; the list has one cache alone
+        watch = r.watch(told(r, 7, 0))  # an older version, of which it is told by discovery: that goes first
+        assert since(r) == b"0"
+        r.until(lambda: r.count("lists.full") == 1)
+        assert served(r, "r2") == 1
+        member.tell(told(r, 99, 1))
+        tell(watch, r.change(8, 1))
+        r.until(lambda: r.count("lists.delta") == 1)
+        assert served(r, "r3") == 1 and r.count("members.lists_taken") == 1
+
+
+@pytest.mark.parametrize("first", ["call", "list"])
+def test_a_list_from_a_member_and_a_call_that_is_out_cross(tmp_path: Path, first: str) -> None:
+    r, member = real(tmp_path, first=first)
+    with r:
+        if first == "call":  # its changes are since what was held before: they may not be put on this list
+            line = r.discovery.accept()
+            assert b"since=5" in line.head()
+            member.wish()
+            member.tell(told(r, 9, 1))
+            r.until(lambda: r.count("members.lists_taken") == 1)
+            assert r.count("lists.cached") == 1
+            line.reset()
+            r.until(lambda: r.count("lists.cached") == 2)
+        else:
+            member.wish()
+            member.tell(told(r, 9, 1))
+            r.until(lambda: r.count("lists.cached") == 2)
+        assert served(r, "r1") == 0
+        r.watch(told(r, 9))
+        assert since(r) == b"0"
+
+
+def test_a_lie_lasts_no_longer_than_an_old_list_would(tmp_path: Path) -> None:
+    r, member = real(tmp_path)
+    with r:
+        member.wish()
+        member.tell(told(r, (1 << 61), 0, s1="terminating"))  # nobody is ready in it: no list to begin with
+        r.until(lambda: r.count("members.lists_wrong") == 1)
+        member.wish()
+        member.tell(told(r, (1 << 61), 1))
+        r.until(lambda: r.count("lists.cached") == 2)
+        r.watch(told(r, 6, 0))  # discovery's count, far below the one that was told
+        r.until(lambda: r.count("lists.full") == 1)
+        assert served(r, "r1") == 1
+
+
+def test_a_drain_that_a_member_tells_of_binds_at_once(tmp_path: Path) -> None:
+    r, member = real(tmp_path)
+    r.told["known"] = {"seq": 5, "whole": True, "hosts": r.hosts}
+    r.write()
+    with r:
+        member.wish()
+        member.tell(told(r, 9, s0="terminating"))
+        r.until(lambda: r.count("lists.cached") == 2)
+        assert {served(r, f"r{n}") for n in range(6)} == {1}  # its grace is for what is sent already
+
+
+def test_without_a_list_from_anybody_it_is_told_so_and_asks_on(tmp_path: Path) -> None:
+    r, member = real(tmp_path)
+    with r:
+        for _ in range(3):
+            assert member.wish() == (5, b"", 15)
+        client: Line = r.client()
+        client.say(get("r1", wait=300))
+        assert isinstance(client.value(), Fault)
