--- a/hookpitch/lab/experiment.py
+++ b/hookpitch/lab/experiment.py
@@ -34,7 +34,14 @@
     "dials_at_one",
     "listed_s",
     "steady_s",
+    "called_dead",
+    "found_s",
+    "agreed_s",
+    "views_wrong",
+    "turns",
+    "lists_taken",
 )
+OF_MEMBERS = FIGURES[FIGURES.index("called_dead") :]  # where nodes are members
 FAULTS = (
     "crash",
     "vanish",
@@ -375,6 +382,8 @@
     figure, sign, bound, method, since, until, within, fault = match.groups()
     if figure not in FIGURES:
         raise ValueError(f"{where}: expect[{n}]: '{figure}' is none of {', '.join(FIGURES)}")
+    if figure in OF_MEMBERS and not f.nodes.members:
+        raise ValueError(f"{where}: expect[{n}]: '{figure}' wants nodes.members")
     if method and method not in {m.name for m in f.method}:
         raise ValueError(f"{where}: expect[{n}]: no method is named '{method}'")
     if within is not None:
--- a/hookpitch/lab/figures.py
+++ b/hookpitch/lab/figures.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from hookpitch.lab.experiment import FIGURES, Expectation, Experiment
+from hookpitch.lab import membership
+from hookpitch.lab.experiment import FIGURES, OF_MEMBERS, Expectation, Experiment
 from hookpitch.lab.run import Ended
 from hookpitch.standin.history import Event
 
@@ -91,6 +92,10 @@
         return listed_s(ended.history.events)
     if name == "steady_s":
         return steady_s(rpcs, since_s, until_s)
+    if name == "lists_taken":
+        return float(sum(c.get("members.lists_taken", 0) for c in ended.counters.values()))
+    if name in membership.FIGURES:
+        return membership.figure(name, membership.said(ended.logs), ended.history.events, since, until)
     raise ValueError(name)
 
 
@@ -162,7 +167,8 @@
                 },
             }
         )
-    whole |= {n: round(figure(n, ended, rpcs, 0.0, x.seconds), 4) for n in FIGURES[-4:]}
+    more = [n for n in FIGURES[FIGURES.index("list_calls") :] if x.nodes.members or n not in OF_MEMBERS]
+    whole |= {n: round(figure(n, ended, rpcs, 0.0, x.seconds), 4) for n in more}
     sent: dict[str, int] = {}
     for e in ended.history.events:
         if e.kind == "came":
--- a/hookpitch/lab/processes.py
+++ b/hookpitch/lab/processes.py
@@ -173,6 +173,9 @@
                 if other != self.name:
                     host, port = run.peer(self.name, other)
                     lines.append(f'"{address}" = "{host}:{port}"')
+                    # What another tells of a server is true in the other's net.
+                    mine, theirs = run.dials(self.net), run.dials(run.nets[other])
+                    lines += [f'"{there}" = "{here}"' for here, there in zip(mine, theirs, strict=True)]
         return lines
 
     def told(self) -> dict[str, Any]:
--- a/hookpitch/lab/run.py
+++ b/hookpitch/lab/run.py
@@ -184,7 +184,7 @@
         hosts = [h.wire(net) for h in seq_hosts[1]] if x.nodes.known != "none" else []
         if x.nodes.known == "yesterday":  # other processes, at ports where nobody listens now
             old = [h for h in hosts if h["class"] != "origin"]
-            hosts = [h | {"host": f"y{h['host']}", "dial": f"{h['dial']}9"} for h in old]
+            hosts = [h | {"host": f"y{h['host']}", "dial": f"{h['dial'].rpartition(':')[0]}:9"} for h in old]
         seq = seq_hosts[0] if x.nodes.known == "now" else 0
         methods = [
             {
--- a/hookpitch/lab/wall.py
+++ b/hookpitch/lab/wall.py
@@ -15,6 +15,7 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from datetime import datetime
 from pathlib import Path
 from typing import Any
 
@@ -290,6 +291,10 @@
         """Where node a finds node b, by TCP and by UDP."""
         return f"{self.nets[a]}.200.{1 + int(b[1:])}", self.x.nodes.peer_port
 
+    def dials(self, net: str) -> list[str]:
+        """Where a node of that net finds the origin and each server that is there by now."""
+        return [f"{net}.2.2:{ORIGIN_PORT}", *(f"{net}.{at}:{CACHE_PORT}" for at in self.addresses.values())]
+
     def dial(self, name: str) -> str:
         return f"{{net}}.{self.addresses[name]}:{CACHE_PORT}"
 
@@ -558,7 +563,9 @@
         plain = ("event", "node", "level", "timestamp")
         for line in node.lines():
             event = line.get("event", "")
-            self.logs.append((0.0, node.name, event))
+            stamp = datetime.fromisoformat(line.get("timestamp", "1970-01-01T00:00:00+00:00")).timestamp()
+            at = 1000 * (stamp - self.world.epoch - self.offset)
+            self.logs.append((at, node.name, f"{event}: {line['what']}" if "what" in line else event))
             if event == "left":
                 mine = self.counters.setdefault(node.name, {})
                 for name, count in line.items():
