--- a/hookpitch/lab/membership.py
+++ b/hookpitch/lab/membership.py
@@ -50,8 +50,8 @@
     """One figure over a span in ms.
 
     `called_dead`: members that some other called dead. `found_s`: from the first kill in the span until each
-    that was killed then was suspected or called dead by somebody; `agreed_s`: until all that run called them
-    so (the span's length where that never came). `views_wrong`: pairs of running members of which, at the
+    that was killed then was suspected or called dead by somebody; `agreed_s`: until all others called them
+    dead (the span's length where that never came). `views_wrong`: pairs of running members of which, at the
     span's end, the one does not hold the other for alive. `turns`: the most changes that one told of another.
     """
     some = [c for c in changes if since <= c.at < until]
@@ -64,7 +64,7 @@
         first = min(killed.values())
         worst = 0.0
         for of, at in killed.items():
-            here = up(events, at + 1) - {of}
+            here = up(events, at + 1) - killed.keys()  # on processes one dies some ms after the other
             late = []
             bad = ("dead",) if name == "agreed_s" else ("suspected", "dead")
             for who in here:
--- a/hookpitch/members/lists.py
+++ b/hookpitch/members/lists.py
@@ -8,7 +8,7 @@
 
 - nothing is asked for, and nothing taken, once discovery has told this process a list: its word goes first;
 - a list is told on only by a node whom discovery told it, and that heard discovery in the last `OLDEST_MS`:
-  one member's lie is not another's word;
+  one member's lie is not another's word. Of two lists the one of the higher version goes, not the younger;
 - a list is taken only if its version is higher than that of the one held, and it is whole: parts of two
   lists never mix (a digest in each), and what unpacks to more than `PLAIN_MOST` bytes is none;
 - at most `ASKED` wishes each `AGAIN_MS`, and at most `PARTS_A_SECOND` parts told a second, whoever asks.
@@ -34,7 +34,7 @@
 ASKED = 3  # members in one go; the first that answers is asked for what lacks
 TRIES = 3  # wishes in a row that bring no further part, before others are asked
 FIRST = 0xF  # the parts that one who knows of no list wishes for
-OLDEST_MS = 30000.0  # since its teller last heard discovery; an older list tells of servers long gone
+OLDEST_MS = 3600000.0  # since its teller last heard discovery: as old as a snapshot may be
 PART = 900  # bytes
 PARTS_MOST = 64
 PLAIN_MOST = 1 << 20  # bytes of a list
--- a/hookpitch/members/port.py
+++ b/hookpitch/members/port.py
@@ -157,7 +157,9 @@
     def held(self) -> Held:
         discovery, counts = self.node.discovery, self.node.host.counters.counts
         told = "lists.full" in counts or "lists.delta" in counts
-        return Held(max(discovery.seq, self.version), told, told and discovery.asking.at == FAR)
+        # Danger: a version that a member told, kept above discovery's own count once that has been heard.
+        version = discovery.seq if told else max(discovery.seq, self.version)
+        return Held(version, told, told and discovery.asking.at == FAR)
 
     def _others(self) -> list[Address]:
         """Who may be asked for a list: all that live, as others tell of them, and the seeds."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,7 +10,7 @@
 
 from hookpitch.lab.experiment import load, read
 from hookpitch.lab.figures import expected, summary
-from hookpitch.lab.membership import figure, said, up
+from hookpitch.lab.membership import Said, figure, said, up
 from hookpitch.lab.run import Run
 from hookpitch.standin.history import Event
 
@@ -43,6 +43,9 @@
     value = lambda name, a=0.0, b=20000.0: figure(name, changes, EVENTS, a, b)  # noqa: E731
     assert value("called_dead") == 1 and value("called_dead", 7000.0) == 0
     assert value("found_s") == 1.5 and value("agreed_s") == 5.5
+    died = [*EVENTS, event(1005, "stop", "n1")]  # some ms later, and it was to say of n2 that it is dead
+    mine = [*(c for c in changes if c.who == "n0"), Said(7000.0, "n0", "n1", "dead")]
+    assert figure("agreed_s", mine, sorted(died), 0.0, 20000.0) == 6.0
     assert value("found_s", 2000.0) == 0.0  # nobody was killed in that span
     assert value("agreed_s", 0.0, 6200.0) == 5.2  # n1 never said so: to the span's end
     assert value("views_wrong") == 1  # n1 holds n2 for dead still
