--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -504,7 +504,7 @@
 @pytest.mark.parametrize(("count", "depth", "states"), [(3, 4, 3000), (4, 4, 3000)])
 def test_no_state_of_three_or_four_members_breaks_an_invariant(count: int, depth: int, states: int) -> None:
     assert explored(depth, states, count) >= states
-    for seed in range(30):
+    for seed in range(40):
         walked(seed, 150, count)
 
 
