--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -76,13 +76,11 @@
     at = tmp_path / "figures.json"
     words = [sys.executable, "-m", "hookpitch.cli", "lab", "run", str(LISTS), "--clock", "wall"]
     words += ["--json", str(at)]
-    for _ in range(2):
+    for _ in range(3):
         done = subprocess.run(words, cwd=ROOT, text=True, capture_output=True, timeout=120)
         if done.returncode != 3:
             break
-    if done.returncode == 3:
-        pytest.skip(f"void twice, the rig fell behind: {done.stdout}")
-    assert done.returncode == 0, done.stdout + done.stderr
+    assert done.returncode == 0, done.stdout + done.stderr  # void each time has shown nothing: no pass
     figures = json.loads(at.read_text())
     assert all(e["holds"] for e in figures["expected"]) and len(figures["expected"]) >= 3
     virtual = Run(load(LISTS), 1).run()
