--- a/review/2/test.py
+++ b/review/2/test.py
@@ -47,7 +47,9 @@
         return None if key.startswith(b"b") else b"cache:%b:%b" % (key, request_id)
 
     async def handle(self, words, writer) -> None:
-        writer.write(self.answer(self.value_of(words[1], words[2])))
+        value = self.value_of(words[1], words[2])
+        self.record.add(self.name, f"id={words[2].decode()} {'miss' if value is None else 'hit'}")
+        writer.write(self.answer(value))
         await writer.drain()
 
 
@@ -76,11 +78,11 @@
                 )
             writer.write(lib.command(b"OBJ.GET", key, request_id, b"c=part-lookup,d=2000"))
             self.open[request_id] = self.record.now()
+            self.record.add("client", f"sends id={request_id.decode()} key {key.decode()}")
             answer, value = await asyncio.wait_for(lib.read_reply(reader), 4.0)
             self.free.append((reader, writer))
             name = f"{kind} {answer}"
-            if kind == "large":
-                self.record.add("client", f"id={request_id.decode()} {answer} {len(value)} bytes")
+            self.record.add("client", f"gets for id={request_id.decode()} {answer}, {len(value)} bytes")
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
             name = f"{kind} {type(error).__name__}"
             if not self.stopped:
