--- a/review/common/lib.py
+++ b/review/common/lib.py
@@ -359,7 +359,7 @@
         if len(breaks) > 20:
             print(f"and {len(breaks) - 20} more")
         print(("FAILED" if breaks else "held") + f" (TROUBLE={int(TROUBLE)})")
-    except (CannotRun, OSError, TimeoutError) as error:
+    except Exception as error:  # also a fault of the case itself: it did not run
         record.add("case", f"could not run: {error!r}")
         print("could not run:", repr(error))
     finally:
