Review: a case's node ends with the case, however that ends

Cause: a case that is killed from outside left its node behind. Change: the node's process is killed by Linux when the case's process ends (PR_SET_PDEATHSIG).

--- a/review/common/lib.py
+++ b/review/common/lib.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import shutil
@@ -34,6 +35,11 @@
         return probe.getsockname()[1]
 
 
+def end_with_parent() -> None:
+    """In a new process: ask Linux to kill it when the process that started it ends."""
+    ctypes.CDLL(None).prctl(1, int(signal.SIGKILL))  # PR_SET_PDEATHSIG
+
+
 class Record:
     """Collects what was sent, answered and run, and writes it to record.txt."""
 
@@ -306,7 +312,8 @@
             PROXY_DISCOVERY=document["discovery"], PROXY_CONFIG=str(path))
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", deploy["run"]], cwd=ROOT, env=environment,
-            stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=self.log.open("wb"))
+            stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=self.log.open("wb"),
+            preexec_fn=end_with_parent)
         record.add("platform", f"starts the node, pid {self.process.pid}")
 
     async def ready(self) -> None:
