Free an RPC and its answer when it ends, not when the garbage collector runs

Cause: `Rpc.attempts` and `Attempt.rpc` refer to each other, and the RPC refers to its reply slot, whose answer has 4 MB. So each ended RPC kept its answer until the collector's oldest generation ran.

Change: the table of RPCs drops the attempts of an RPC that it removes, which ends the cycle.

--- a/hookpitch/core/rpc_table.py
+++ b/hookpitch/core/rpc_table.py
@@ -1,7 +1,8 @@
 """The RPCs in progress, and the single final answer to each.
 
 Invariants: an id is in the table once; `pending` counts the RPCs without an answer; an RPC is
-removed from the table once it is answered and none of its attempts is in flight.
+removed from the table once it is answered and none of its attempts is in flight, and its memory is
+freed at once.
 """
 
 from __future__ import annotations
@@ -79,3 +80,6 @@
             self._value_budget.release(len(rpc.value))
             rpc.value = b""
         self.ids.discard(rpc.id)
+        # An RPC and its attempts refer to each other. Unless that ends here, the garbage collector
+        # frees them, which runs seldom, and with them answers of some megabytes.
+        rpc.attempts = []
