Bound the memory of values without a length, and forward them without copies

Eight values of 4 MB at once took a node that was told 64 MB to 75 MB.

Change: such a body is a `CollectedBody`, whose bytes above 64 KB are reserved in the budget of large values (a quarter of the memory, so far for writes alone). When its end has come it is forwarded as a stream whose source is the node itself (`StoredReply`): the client's back-pressure, its timeout without progress and the return of memory chunk by chunk are those of streams, and the origin's connection is free meanwhile. Where the budget does not allow it, the attempt ends at once with the new outcome NO_MEMORY (`tx.no_memory`): no fault of the origin, no further attempt; the client is told -BUSY, or -ERR where the RPC may not run twice. Bodies of errors are counted and not kept. `Attempt.carrier` has a type with one method in place of isinstance checks.

--- a/hookpitch/balancer/interface.py
+++ b/hookpitch/balancer/interface.py
@@ -31,6 +31,7 @@
     OVERLOADED = 7
     ERROR = 8
     MALFORMED = 9  # the answer cannot be parsed; the RPC may have run
+    NO_MEMORY = 10  # this node cannot hold the answer; the RPC may have run
 
 
 # A tuple, because hashing an enum member calls Python code and comparing identities does not.
--- a/hookpitch/balancer/router.py
+++ b/hookpitch/balancer/router.py
@@ -226,6 +226,8 @@
             self.work.freed_backends.append(backend)
         if outcome == Outcome.MISS:
             rpc.missed = True
+        elif outcome == Outcome.NO_MEMORY:
+            rpc.rejected = True  # the same answer would not fit a moment later either
         if is_last or rpc.closed:
             self._close(rpc)
         else:
--- a/hookpitch/core/counter_names.py
+++ b/hookpitch/core/counter_names.py
@@ -17,6 +17,7 @@
     Outcome.OVERLOADED: "tx.full",
     Outcome.ERROR: "tx.error",
     Outcome.MALFORMED: "tx.spoilt",
+    Outcome.NO_MEMORY: "tx.no_memory",
 }
 UPDATE_COUNTERS = {
     EndpointUpdate.CACHED: "lists.cached",
--- a/hookpitch/core/rpc.py
+++ b/hookpitch/core/rpc.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import Protocol
 
 from hookpitch.core.deadlines import Deadline
 from hookpitch.core.interfaces import Client
@@ -14,6 +15,13 @@
 from hookpitch.core.stream import ChunkedValue, Stream
 
 
+class AttemptCarrier(Protocol):
+    """What an attempt is at: its pool's queue, its connection, or its stored reply."""
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Stop the attempt if it is still here; the host is not notified of its end."""
+
+
 class Attempt:
     """One sending of an RPC to one backend."""
 
@@ -44,7 +52,7 @@
         self.sent_at = sent_at
         self.deadline = deadline  # until then the node waits for the reply
         self.start_by = start_by  # an attempt without a connection by then is not sent any more
-        self.carrier: object | None = None  # the pool that the attempt waits in, or its connection
+        self.carrier: AttemptCarrier | None = None
         self.written = False  # at least in part, so the backend may have executed the RPC
         self.done = False
 
--- a/hookpitch/net/backend_connection.py
+++ b/hookpitch/net/backend_connection.py
@@ -15,7 +15,7 @@
 from twisted.python.failure import Failure
 
 from hookpitch.balancer.deployment import parse_load_report
-from hookpitch.balancer.interface import Outcome
+from hookpitch.balancer.interface import Outcome, Report
 from hookpitch.core.host import NO_REPORT
 from hookpitch.core.resp import NEED_DATA, ErrorReply, Parser, ProtocolError, Value, command
 from hookpitch.core.rpc import Attempt
@@ -103,25 +103,40 @@
 
         `load` is the text of the backend's load report; empty where the response has none.
         """
+        now = self.clock.now()
+        attempt = self._detach_attempt(reuse)
+        if attempt is None:
+            return
+        age_ms = self.unread_age_ms() if not self.is_lost else 0.0
+        report = self._parse_report(load)
+        self.host.attempt_finished(now, attempt, outcome, value, report, age_ms)
+
+    def _detach_attempt(self, reuse: bool) -> Attempt | None:
+        """Free the connection of its attempt and return that; without `reuse`, reset it."""
         attempt = self.attempt
         self.attempt = None
-        now = self.clock.now()
         if reuse and not self.has_unsent_bytes:
             self.pool.release(self)
         else:
             # Without the reset, a response that never ends would stay open while the next attempt
             # of the same RPC runs.
             self.reset_now()
-        if attempt is None:
-            return
-        age_ms = self.unread_age_ms() if not self.is_lost else 0.0
-        values = NO_REPORT
-        if load:
-            try:
-                values = parse_load_report(load, "=")
-            except ValueError:
-                self.host.record_malformed("reports", load)
-        self.host.attempt_finished(now, attempt, outcome, value, values, age_ms)
+        return attempt
+
+    def _parse_report(self, load: str) -> Report:
+        if not load:
+            return NO_REPORT
+        try:
+            return parse_load_report(load, "=")
+        except ValueError:
+            self.host.record_malformed("reports", load)
+            return NO_REPORT
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Reset the connection if it carries this attempt."""
+        if self.attempt is attempt:
+            self.attempt = None
+            self.reset_now()
 
     def fail_malformed(self, reason: str) -> None:
         """End the attempt after a malformed response; the RPC may have been executed."""
--- a/hookpitch/net/backend_pool.py
+++ b/hookpitch/net/backend_pool.py
@@ -83,6 +83,11 @@
         attempt.carrier = self
         return True
 
+    def cancel(self, attempt: Attempt) -> None:
+        """Remove an attempt from the queue if it still waits for a connection."""
+        if attempt in self.waiting:
+            self.waiting.remove(attempt)
+
     def _is_clean(self, connection: BackendConnection) -> bool:
         """Return whether a connection has no unread bytes, and abort it if it has some.
 
--- a/hookpitch/net/backend_pools.py
+++ b/hookpitch/net/backend_pools.py
@@ -57,12 +57,8 @@
 
     def cancel(self, now: float, attempt: Attempt) -> None:
         """Cancel an attempt: reset its connection, or remove it from its pool's queue."""
-        carrier = attempt.carrier
-        if isinstance(carrier, BackendConnection) and carrier.attempt is attempt:
-            carrier.attempt = None
-            carrier.reset_now()
-        elif isinstance(carrier, BackendPool) and attempt in carrier.waiting:
-            carrier.waiting.remove(attempt)
+        if attempt.carrier is not None:
+            attempt.carrier.cancel(attempt)
 
     def read_pending_response(self, attempt: Attempt) -> bool:
         """Read the unread response of an attempt; return whether the attempt has ended."""
--- a/hookpitch/net/origin.py
+++ b/hookpitch/net/origin.py
@@ -1,7 +1,8 @@
 """Connections to the origin: HTTP/1.1 with h11, one attempt at a time on each connection.
 
-State: the h11 connection, and the status, headers and body of the response. A body of more than
-`MAX_BULK_BYTES` bytes with a Content-Length is streamed; any other body is buffered completely.
+State: the h11 connection, and the status, headers and body of the response. A value of more than
+`MAX_BULK_BYTES` bytes with a Content-Length is streamed as it arrives. A value without one is
+collected under the budget of large values first. The body of any other response is dropped.
 """
 
 from __future__ import annotations
@@ -16,11 +17,13 @@
 from twisted.python.failure import Failure
 
 from hookpitch.balancer.interface import Outcome
+from hookpitch.core.collected_body import CollectedBody
 from hookpitch.core.resp import MAX_BULK_BYTES
 from hookpitch.core.rpc import Attempt
 from hookpitch.core.stream import MAX_STREAMED_BYTES, ChunkedValue
 from hookpitch.net.backend_connection import BackendConnection
 from hookpitch.net.backend_pool import BackendPool
+from hookpitch.net.stored_reply import StoredReply
 
 BODY_TOO_LONG = "response body exceeds the limit for streamed values"
 
@@ -31,12 +34,14 @@
     def __init__(self, pool: BackendPool) -> None:
         super().__init__(pool)
         self.http = h11.Connection(h11.CLIENT)
+        self.body = CollectedBody(self.host.value_budget)
         self._reset_response()
 
     def _reset_response(self) -> None:
+        self.body.discard()
         self.status = 0  # 0 until the response's head has been received
         self.headers: dict[bytes, bytes] = {}
-        self.body = bytearray()
+        self.body_length = 0  # bytes received, whether or not they are kept
         self.is_streaming = False  # the body is being forwarded in chunks
 
     # ---- the request
@@ -79,41 +84,36 @@
         if not self.paused:
             if len(self.input_buffer):
                 self.http.receive_data(self.input_buffer.read(len(self.input_buffer)))
-            self._read_events()
+            try:
+                self._read_events()
+            except h11.RemoteProtocolError as error:
+                self.fail_malformed(str(error))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Complete a body without a length on a clean close, then end the attempt if it is open."""
         if self.attempt is not None and self.status and reason.check(ConnectionDone):
             with suppress(h11.RemoteProtocolError):
                 self.http.receive_data(b"")
-                while not isinstance(event := self.http.next_event(), h11.EndOfMessage):
-                    if isinstance(event, h11.Data):
-                        self._handle_data(bytes(event.data))
-                self._handle_end()
+                self._read_events(ignore_pause=True)
         super().connectionLost(reason)
         self._reset_response()
 
-    def _read_events(self) -> None:
-        try:
-            while not self.paused:
-                event = self.http.next_event()
-                if isinstance(event, h11.Response):
-                    self.status = event.status_code
-                    self.headers = dict(event.headers)
-                    if not self._handle_head():
-                        return
-                elif isinstance(event, h11.Data):
-                    self._handle_data(bytes(event.data))
-                    if len(self.body) > MAX_STREAMED_BYTES:
-                        self.fail_malformed(BODY_TOO_LONG)
-                        return
-                elif isinstance(event, h11.EndOfMessage):
-                    self._handle_end()
+    def _read_events(self, ignore_pause: bool = False) -> None:
+        while ignore_pause or not self.paused:
+            event = self.http.next_event()
+            if isinstance(event, h11.Response):
+                self.status = event.status_code
+                self.headers = dict(event.headers)
+                if not self._handle_head():
+                    return
+            elif isinstance(event, h11.Data):
+                if not self._handle_data(bytes(event.data)):
                     return
-                elif not isinstance(event, h11.InformationalResponse):
-                    return  # more bytes are needed, or the connection ends
-        except h11.RemoteProtocolError as error:
-            self.fail_malformed(str(error))
+            elif isinstance(event, h11.EndOfMessage):
+                self._handle_end()
+                return
+            elif not isinstance(event, h11.InformationalResponse):
+                return  # more bytes are needed, or the connection ends
 
     def _handle_head(self) -> bool:
         """Begin a stream where the body is large; return False where the attempt has ended."""
@@ -128,26 +128,48 @@
             return self.is_streaming
         return True
 
-    def _handle_data(self, data: bytes) -> None:
+    def _handle_data(self, data: bytes) -> bool:
+        """Forward or keep a part of the body; return False where the attempt has ended."""
         if self.is_streaming and self.attempt is not None:
             self.host.stream_chunk(self.clock.now(), self.attempt, data)
-        else:
-            self.body += data
+            return True
+        self.body_length += len(data)
+        if self.body_length > MAX_STREAMED_BYTES:
+            self.fail_malformed(BODY_TOO_LONG)
+            return False
+        if self.status == 200 and not self.body.append(data):
+            self.body.discard()  # at once: the bodies beside it need the memory
+            self.finish(Outcome.NO_MEMORY, reuse=False)
+            return False
+        return True
 
     def _handle_end(self) -> None:
-        was_not_run = self.headers.get(b"x-not-run") == b"1"
-        value = None
-        if self.status == 200:
-            outcome = Outcome.COMPLETED
-            value = bytes(self.body)
-        elif self.status in (503, 504) and was_not_run:
-            outcome = Outcome.OVERLOADED
-        else:
-            outcome = Outcome.ERROR
         is_complete = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
         # Bytes after a response would be taken for the response to the next RPC.
         reuse = is_complete and not self.http.trailing_data[0]
         if reuse:
             self.http.start_next_cycle()
         load = self.headers.get(b"x-load", b"").decode("latin-1")
-        self.finish(outcome, value, load, reuse)
+        if len(self.body) > MAX_BULK_BYTES:
+            self._forward_stored_reply(load, reuse)
+            return
+        value = self.body.to_bytes() if self.status == 200 else None
+        self.finish(self._outcome(), value, load, reuse)
+
+    def _outcome(self) -> Outcome:
+        if self.status == 200:
+            return Outcome.COMPLETED
+        if self.status in (503, 504) and self.headers.get(b"x-not-run") == b"1":
+            return Outcome.OVERLOADED
+        return Outcome.ERROR
+
+    def _forward_stored_reply(self, load: str, reuse: bool) -> None:
+        """Hand the collected body over, so that the connection is free while the client reads."""
+        body = self.body
+        self.body = CollectedBody(self.host.value_budget)
+        attempt = self._detach_attempt(reuse)
+        if attempt is None:
+            body.discard()
+            return
+        report = self._parse_report(load)
+        StoredReply(self.host, self.clock, attempt, body, report).start()
