Close a client's connection once its last replies are delivered, not after 100 ms

Cause: in a drain, or after QUIT or a malformed command, the node stops reading, writes the last replies, shuts down its sending side and closes the socket LINGER_MS = 100 ms later. Commands that the client has sent since are unread by then, so Linux resets the connection and drops the send buffer, here up to 0.9 MB. Nothing checked that the replies had arrived.

Change: after the shutdown of sending, the socket's state is checked every 20 ms (TCP_INFO: our FIN is acknowledged only after all bytes before it). The connection is closed when the client has closed too, or 100 ms after the acknowledgement. The bounds of 5 s after the last reply and of the end of the shutdown stay.

--- a/hookpitch/net/buffered_protocol.py
+++ b/hookpitch/net/buffered_protocol.py
@@ -25,11 +25,19 @@
 WRITE_CHUNK_BYTES = 65536  # passed to the transport at a time, once the previous bytes are written
 
 # Linux's struct tcp_info (linux/tcp.h). The first byte is the connection's state.
-TCP_INFO_BYTES = 56
+TCP_INFO_BYTES = 148
+UNACKNOWLEDGED_OFFSET = 24  # tcpi_unacked: segments that are sent and not acknowledged
 LAST_DATA_RECEIVED_OFFSET = 52  # tcpi_last_data_recv, in ms
+NOT_SENT_OFFSET = 144  # tcpi_notsent_bytes: bytes that the peer has no room for yet
+FIN_UNACKNOWLEDGED_STATES = (4, 9, 11)  # FIN_WAIT1, LAST_ACK, CLOSING
 PEER_ENDED_STATES = (6, 7, 8, 9, 11)  # TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
 
 
+def _tcp_info_field(info: bytes, offset: int) -> int:
+    """Return a 32-bit field of `struct tcp_info`; 0 where the kernel does not fill it."""
+    return unpack_from("I", info, offset)[0] if len(info) >= offset + 4 else 0
+
+
 class _OutputProducer:
     """Passes a protocol's buffered output to the transport whenever the transport can write."""
 
@@ -85,14 +93,29 @@
 
     def unread_age_ms(self) -> float:
         """Return the milliseconds since the newest byte reached this machine; 0 where unknown."""
+        return float(_tcp_info_field(self._tcp_info(), LAST_DATA_RECEIVED_OFFSET))
+
+    def _tcp_info(self) -> bytes:
+        """Return the kernel's `struct tcp_info`; empty where there is none."""
         socket = getattr(self.transport, "socket", None)
         if socket is None:
-            return 0.0
+            return b""
         try:
-            info = socket.getsockopt(IPPROTO_TCP, TCP_INFO, TCP_INFO_BYTES)
-            return float(unpack_from("I", info, LAST_DATA_RECEIVED_OFFSET)[0])
+            return socket.getsockopt(IPPROTO_TCP, TCP_INFO, TCP_INFO_BYTES)
         except (OSError, ValueError):
-            return 0.0
+            return b""
+
+    def has_undelivered_bytes(self) -> bool:
+        """Return whether the peer's kernel has not acknowledged all that was written to the socket.
+
+        The end of the stream counts as written once the sending side is shut down.
+        """
+        info = self._tcp_info()
+        return bool(
+            (info and info[0] in FIN_UNACKNOWLEDGED_STATES)
+            or _tcp_info_field(info, UNACKNOWLEDGED_OFFSET)
+            or _tcp_info_field(info, NOT_SENT_OFFSET)
+        )
 
     def peer_has_closed(self) -> bool:
         """Return whether the peer has closed its sending side or reset the connection.
--- a/hookpitch/net/client_connection.py
+++ b/hookpitch/net/client_connection.py
@@ -38,7 +38,10 @@
 
 COMMANDS_PER_TURN = 32  # commands of one connection per turn of the event loop
 VALUE_PROGRESS_BYTES = 4096  # bytes of a large value after which its client counts as active
-LINGER_MS = 100.0  # from the shutdown of sending until the close, so that the last reply arrives
+# From when the client's kernel has acknowledged the last reply until the close, so that the client
+# can read it.
+LINGER_MS = 100.0
+DELIVERY_CHECK_MS = 20.0  # interval at which the acknowledgement of the last reply is checked
 STALE_READ_MS = 50.0  # the client of a command read later than this may have disconnected
 REFUSED_VALUE = ChunkedValue()  # placeholder for a large value that exceeds the memory budget
 
@@ -74,6 +77,7 @@
         self.client_has_left = False  # the client had stopped sending when its commands were read
         self.peer_half_closed = False  # the client has stopped sending, and all bytes were read
         self._is_finished = False  # the sending side is shut down, or the close has begun
+        self._delivered_at: float | None = None  # when the last reply was seen to be acknowledged
         self._is_parsing = False
 
         self.active_at = 0.0  # time of the connect, the last reply or a command's first byte
@@ -416,20 +420,41 @@
                 self.finish()
 
     def finish(self) -> None:
-        """Shut down the sending side at once, and close the connection `LINGER_MS` later.
+        """Shut down the sending side at once, and close once the client has the last reply.
 
-        Closing a socket that has unread bytes resets the connection, which loses the last reply.
+        Closing a socket that has unread bytes resets the connection, and the kernel drops what it
+        has not delivered. Reading these bytes is no way out: a command that was read and gets no
+        reply is lost, while the client retries one that was not read.
         """
         self.is_closing = True
         if self._is_finished or (self.write_pending and self._plain_transport is not None):
             return  # buffered output is written first
         self._is_finished = True
         if not self.peer_half_closed and self.shutdown_write():
-            until = self.clock.now() + LINGER_MS
-            self.clock.deadlines.add(until, lambda _: self.is_lost or self.close_now())
+            self._check_delivery_later()
         else:
             self.transport.loseConnection()
 
+    def _check_delivery_later(self) -> None:
+        self.clock.deadlines.add(self.clock.now() + DELIVERY_CHECK_MS, self._check_delivery)
+
+    def _check_delivery(self, now: float) -> None:
+        """Close if the client has closed too, or has had `LINGER_MS` to read the last reply.
+
+        The registry's sweep ends a connection whose client does not read.
+        """
+        if self.is_lost:
+            return
+        if self.has_undelivered_bytes():
+            self._check_delivery_later()
+            return
+        if self._delivered_at is None:
+            self._delivered_at = now
+        if self.peer_has_closed() or now - self._delivered_at >= LINGER_MS:
+            self.close_now()
+        else:
+            self._check_delivery_later()
+
     def readConnectionLost(self) -> None:
         """Handle a half-close: the client has stopped sending and may still read."""
         self.host.client_disconnected(self.clock.now(), list(self.rpcs.values()), still_reads=True)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -9,7 +9,7 @@
 from peers import MISS, VALUE, NodeProcess, PeerConnection, method_settings
 from socket_node import get_command
 
-from hookpitch.core.resp import ErrorReply, SimpleString, command
+from hookpitch.core.resp import ErrorReply, SimpleString, bulk, command
 
 METHODS = [
     method_settings("read"),
@@ -17,6 +17,8 @@
     method_settings("short", soft_s=0.8) | {"hard_deadline_s": 1.0},
 ]
 QUIT, PING = b"*1\r\n$4\r\nQUIT\r\n", b"*1\r\n$4\r\nPING\r\n"
+SENDING_ENDS_S = 0.05  # within this time the node has written a reply and shut down its sending
+SLOW_CLIENT_S = 0.4  # a client's pause before it reads on
 DISCONNECTED_S = 0.12  # a client whose connection closed over 0.1 s ago counts as disconnected
 
 
@@ -156,6 +158,33 @@
         check_next_request(node, cache_connection, "r3")
 
 
+@pytest.mark.parametrize("end", ["quit", "malformed command", "shutdown"])
+def test_a_reply_that_a_slow_client_is_still_receiving_survives_the_end_of_its_connection(
+    tmp_path: Path, end: str
+) -> None:
+    # Guards against the loss of replies in the kernel's send buffer: a close over unread commands
+    # resets the connection, which drops them (review/3).
+    with start_node(tmp_path) as node:
+        cache_connection = open_idle_connection(node)
+        client = node.connect_client(receive_buffer_bytes=4096)
+        wait_until_accepted(node, client)
+        last = {"quit": QUIT, "malformed command": b"*1\r\n$x\r\n", "shutdown": b""}[end]
+        client.send(get_command("r1", wait=5000) + last)
+        assert cache_connection.receive_value()[2] == b"r1"
+        if end == "shutdown":
+            node.signal(signal.SIGTERM)
+            node.wait_until(lambda: not is_listening(node))
+        value = bytes(60_000)  # more than the client's kernel takes in
+        cache_connection.send(b"*3\r\n" + bulk(value) + VALUE[11:])
+        time.sleep(SENDING_ENDS_S)
+        client.send(get_command("r2", wait=5000))  # stays unread
+        time.sleep(SLOW_CLIENT_S)
+        assert client.receive_value() == value
+        if end != "shutdown":
+            assert isinstance(client.receive_value(), SimpleString | ErrorReply)
+        assert client.wait_for_close() == "fin"
+
+
 @pytest.mark.parametrize("sent", ["before", "after"])
 def test_a_pipeline_that_continues_during_a_shutdown_ends_between_two_commands(
     tmp_path: Path, sent: str
