Do not reset an idle connection whose client is still receiving its reply

A command that crosses this close causes a reset, and the kernel drops the rest of the reply.

Change: such a connection takes the way of all others (half-close, delivery, close) while the kernel holds bytes that the client's has not acknowledged (TCP_INFO: unacknowledged segments, unsent bytes).

--- a/hookpitch/net/client_registry.py
+++ b/hookpitch/net/client_registry.py
@@ -218,11 +218,12 @@
         return CloseReason.IDLE if exceeds_half and not client.has_unread_bytes() else None
 
     def close(self, client: ClientConnection, reason: CloseReason) -> None:
-        """Close a connection at once, or after `LINGER_MS` where a reply may be in transit."""
+        """Close a connection at once, or later where the client may not have its last reply."""
         self.host.counters.add(reason.value)
         client.is_closing = True
         client.update_eviction_order()
-        if client.active_at > self.clock.now() - LINGER_MS:
+        just_replied = client.active_at > self.clock.now() - LINGER_MS
+        if just_replied or client.has_undelivered_bytes():
             client.finish()
         else:
             client.close_now()
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -17,6 +17,7 @@
     method_settings("short", soft_s=0.8) | {"hard_deadline_s": 1.0},
 ]
 QUIT, PING = b"*1\r\n$4\r\nQUIT\r\n", b"*1\r\n$4\r\nPING\r\n"
+SOCKETS = 64  # descriptors of a node whose clients use up their part
 SENDING_ENDS_S = 0.05  # within this time the node has written a reply and shut down its sending
 SLOW_CLIENT_S = 0.4  # a client's pause before it reads on
 DISCONNECTED_S = 0.12  # a client whose connection closed over 0.1 s ago counts as disconnected
@@ -185,6 +186,27 @@
         assert client.wait_for_close() == "fin"
 
 
+def test_an_idle_connection_whose_client_still_receives_its_reply_is_not_reset_for_a_new_one(
+    tmp_path: Path,
+) -> None:
+    # Guards against the same loss where an idle connection is closed for a new one.
+    with NodeProcess(tmp_path, 1, limits={"sockets": SOCKETS}, methods=METHODS) as node:
+        cache_connection = open_idle_connection(node)
+        client = node.connect_client(receive_buffer_bytes=4096)
+        client.send(get_command("r1", wait=5000))
+        assert cache_connection.receive_value()[2] == b"r1"
+        value = bytes(60_000)
+        cache_connection.send(b"*3\r\n" + bulk(value) + VALUE[11:])
+        time.sleep(SLOW_CLIENT_S)
+        for _ in range(SOCKETS // 3 + 2):  # idle connections are closed above a third
+            wait_until_accepted(node, node.connect_client())
+        node.wait_until(lambda: node.counter("clients.closed_idle") > 0)
+        client.send(get_command("r2", wait=5000))  # crosses the close
+        time.sleep(SENDING_ENDS_S)
+        assert client.receive_value() == value
+        assert client.wait_for_close() == "fin"
+
+
 @pytest.mark.parametrize("sent", ["before", "after"])
 def test_a_pipeline_that_continues_during_a_shutdown_ends_between_two_commands(
     tmp_path: Path, sent: str
