--- a/hookpitch/balancer/endpoints.py
+++ b/hookpitch/balancer/endpoints.py
@@ -147,8 +147,9 @@
             origins = (backend for backend in ready if backend.kind == table.origin_kind)
             table.origin = next(origins, table.origin)
         caches = [backend for backend in resized if backend.kind != table.origin_kind]
+        needs_rebuild = ring.needs_rebuild(caches)
         ring.set_scale(caches)
-        if ring.needs_rebuild(caches):
+        if needs_rebuild:
             ring.clear()
             self._forget_removed()
             caches = [backend for backend in ready if backend.kind != table.origin_kind]
