Judge: an attempt that is read after its node closed it is no second copy

Cause (a history of nine events in docs/ROADMAP.md): a stopped server reads an attempt when it goes on, after its node has closed that attempt's connection and sent the next one. The judge took the late reading for an attempt in flight and marked the next one as doubled, for as long as that lasted.

Change: such an attempt never was in flight beside those that the node sent in the meantime. It goes on counting as a transmission, as one that may have run, and in the checks of time and placement.

Test: test_the_judge_takes_no_attempt_for_a_second_copy_that_is_read_after_its_node_closed_it, with the close (no violation; failed before) and without it (second copy, as before).

--- a/hookpitch/testbed/rpc_checks.py
+++ b/hookpitch/testbed/rpc_checks.py
@@ -38,6 +38,8 @@
         self._rules = context.rules
         self._outages = context.outages
         self._unread = {(event.who, event.port) for event in events if event.kind == "unread"}
+        # Transmissions that a server read when their node had closed the connection already.
+        self._read_after_close: set[Event] = set()
         # By server: its type and its zone.
         self._places = {
             event.who: tuple(event.what.split(" ")) for event in events if event.kind == "place"
@@ -52,7 +54,9 @@
     def _add_closed_transmissions(self) -> None:
         """Add an event to an RPC where its node closed the connection of a transmission.
 
-        From then on the transmission is no longer in flight, even if its server notices later.
+        From then on the transmission is no longer in flight, even if its server notices later. A
+        server that was paused may read a transmission only after that: it never was in flight
+        beside those that the node sent in the meantime.
         """
         by_rpc = self._context.events_by_rpc
         latest_on: dict[tuple[str, int], tuple[str, str]] = {}  # by connection: RPC and server
@@ -60,10 +64,10 @@
         for event in self._context.history.events:
             if event.kind == "came":
                 connection = event.what, event.port
-                latest_on[connection] = event.rpc, event.who
-                # The transmission was on its way when its node closed the connection.
                 if connection in closed:
-                    by_rpc[event.rpc].append(Event(event.at, "closed", event.who))
+                    self._read_after_close.add(event)
+                else:
+                    latest_on[connection] = event.rpc, event.who
             elif event.kind == "closed":
                 connection = event.who, event.port
                 closed.add(connection)
@@ -155,6 +159,9 @@
                 if transmissions > self._rules.most_transmissions:
                     reason = f"sent {transmissions} times, limit {self._rules.most_transmissions}"
                     self._context.report_violation("transmissions", event.at, rpc, reason)
+                if event in self._read_after_close:
+                    may_have_executed = True
+                    continue
                 in_flight = [
                     InFlight(other.server, min(other.duplicate_since, event.at))
                     for other in in_flight
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -203,6 +203,24 @@
     assert [violation.rule for violation in Judge(Rules()).judge(history, 60000.0)] == rules
 
 
+@pytest.mark.parametrize(("closed_at", "rules"), [(1120.0, []), (0.0, ["second copy"])])
+def test_the_judge_takes_no_attempt_for_a_second_copy_that_is_read_after_its_node_closed_it(
+    closed_at: float, rules: list[str]
+) -> None:
+    # Guards against a false violation where a paused server reads a closed attempt late.
+    history = History()
+    history.add(1000.0, "asked", NODE, "q1", "read", 500.0, 7)
+    history.add(1000.0, "away", SERVER, value=250.0)
+    if closed_at:
+        history.add(closed_at, "closed", NODE, port=1)
+    history.add(1241.0, "came", "s9", "q1", NODE, 0.0, 3)
+    history.add(1250.0, "came", SERVER, "q1", NODE, 0.0, 1)  # it was sent at 1000
+    history.add(1250.5, "dropped", SERVER, "q1")
+    history.add(1286.0, "sent", "s9", "q1", "hit")
+    history.add(1287.0, "answered", NODE, "q1", "completed")
+    assert [violation.rule for violation in Judge(Rules()).judge(history, 60000.0)] == rules
+
+
 def test_the_judge_reports_unused_servers_undrained_clients_and_admin_endpoint_failures() -> None:
     history = History()
     history.add(1000.0, "back", NODE, what=SERVER)
