Judge: a ban ends for a node when it reads RESTORE, not when the operator has its answer

Cause: the event `back` is recorded when the operator has read the answer; the node acts when it reads the command, and an RPC in between counted as sent to a banned server.

Change: the operator's sending is an event too (`restoring`, on processes; in virtual time a command runs at once). What is sent in between is judged by the ban only if the node does not accept the command.

Test: test_the_judge_allows_a_banned_server_from_the_command_that_restores_it_if_that_is_accepted: accepted (no violation; failed before), banned again, never accepted (rule 3 both).

--- a/hookpitch/fakes/history.py
+++ b/hookpitch/fakes/history.py
@@ -20,7 +20,8 @@
   `start` and `stop` (of a node's process), `away` (a process is paused for `value` ms), `apart`
   (the node's link to clients or discovery is broken for `value` ms), `leaving` (the node begins its
   graceful shutdown), `banned` and `back` (an operator's command was accepted; who: the node, what:
-  the server), `held` (a drained node still has `value` client connections);
+  the server), `restoring` (the operator has sent the command that `back` accepts), `held` (a
+  drained node still has `value` client connections);
 - an operator: `call` (who: the node, what: the result of checking its answer);
 - the network, where the environment can observe it: `closed` (a node closed its connection to a
   server), `unread` (a node closed a client's connection although it had not read all bytes, or
@@ -33,6 +34,9 @@
 from typing import NamedTuple
 
 DIGEST_BYTES = 16
+# Kinds of events.
+RESTORING = "restoring"
+RESTORED = "back"
 
 
 class Event(NamedTuple):
--- a/hookpitch/testbed/process_run.py
+++ b/hookpitch/testbed/process_run.py
@@ -25,6 +25,7 @@
 from twisted.python.failure import Failure
 
 from hookpitch.fakes.discovery import FakeEndpoint
+from hookpitch.fakes.history import RESTORED, RESTORING
 from hookpitch.fakes.load_clients import LoadClients
 from hookpitch.testbed.base_run import RunResult
 from hookpitch.testbed.child import ControlConnection, LoopMonitor, recorded_events
@@ -572,6 +573,8 @@
         self, node: str, command: str, event_kind: str = "", server: str = ""
     ) -> None:
         """Send an operator's command to a node and record its answer."""
+        if event_kind == RESTORED:
+            self.history.add(self.now(), RESTORING, node, what=server)
         self.send_admin_command(
             self.nodes[node].admin_address(),
             command,
--- a/hookpitch/testbed/server_checks.py
+++ b/hookpitch/testbed/server_checks.py
@@ -8,11 +8,12 @@
 
 from typing import NamedTuple
 
-from hookpitch.fakes.history import Event
+from hookpitch.fakes.history import RESTORED, RESTORING, Event
 from hookpitch.testbed.check_context import CheckContext
 
 INFINITY = float("inf")
 ADMIN_TIMEOUT_MS = 1000.0  # how long an operator waits for an answer
+BANNED = "banned by an operator"
 REQUEST_TIMEOUT_MS = 2000.0  # within which a client has to write its request
 # A node that sent fewer RPCs than this within `Rules.reuse_within_ms` need not have sent any of
 # them to the restored server.
@@ -34,6 +35,13 @@
     name: str
 
 
+class UseOfBanned(NamedTuple):
+    """Holds a transmission to a banned server while an operator was restoring the server."""
+
+    transmission: Event
+    banned_since: float
+
+
 class ServerChecks:
     """Checks the events that concern a server or a node rather than a single RPC."""
 
@@ -45,6 +53,9 @@
         self._notified: dict[tuple[str, str], float] = {}
         # By (node, server): since when an operator has banned the server at the node.
         self._banned: dict[tuple[str, str], float] = {}
+        # By (node, server): transmissions since the operator sent RESTORE. They are allowed if the
+        # node accepts it: it acts when it reads the command, the operator knows from the answer.
+        self._while_restoring: dict[tuple[str, str], list[UseOfBanned]] = {}
         self._out_of_service: dict[str, float] = {}  # by server: since when
         self._restored: list[Restored] = []
         self._last_used: dict[tuple[str, str], float] = {}  # by (node, server)
@@ -58,7 +69,8 @@
             "listed": self._on_listed,
             "came": self._on_transmission,
             "banned": self._on_banned,
-            "back": self._on_restored,
+            RESTORING: self._on_restoring,
+            RESTORED: self._on_restored,
             "stop": self._on_stop,
             "cut": self._on_client_cut_off,
             "held": self._on_drain_incomplete,
@@ -73,6 +85,8 @@
             if handler is not None:
                 handler(event)
         self._check_restored(events[-1].at if events else 0.0)
+        for pair in list(self._while_restoring):
+            self._report_use_while_restoring(pair)
 
     # ---- events
 
@@ -102,7 +116,11 @@
             drained_since = min(self._notified.get((node, server), INFINITY), latest)
             self._check_not_used(event, drained_since, "reported as out of service")
             banned_since = self._banned.get((node, server), INFINITY)
-            self._check_not_used(event, banned_since, "banned by an operator")
+            if (node, server) in self._while_restoring:
+                use = UseOfBanned(event, banned_since)
+                self._while_restoring[node, server].append(use)
+            else:
+                self._check_not_used(event, banned_since, BANNED)
         self._last_used[node, server] = event.at
 
     def _check_not_used(self, event: Event, since: float, cause: str) -> None:
@@ -111,10 +129,20 @@
             self._context.report_violation("rule 3", event.at, event.rpc, reason)
 
     def _on_banned(self, event: Event) -> None:
+        self._report_use_while_restoring((event.who, event.what))
         self._banned.setdefault((event.who, event.what), event.at)
         self._faults.append(Occurrence(event.at, event.what))
 
+    def _on_restoring(self, event: Event) -> None:
+        self._while_restoring.setdefault((event.who, event.what), [])
+
+    def _report_use_while_restoring(self, pair: tuple[str, str]) -> None:
+        """Judge transmissions by the ban, as the node has not accepted RESTORE."""
+        for use in self._while_restoring.pop(pair, []):
+            self._check_not_used(use.transmission, use.banned_since, BANNED)
+
     def _on_restored(self, event: Event) -> None:
+        self._while_restoring.pop((event.who, event.what), None)
         self._banned.pop((event.who, event.what), None)
         self._restored.append(Restored(event.who, event.what, event.at))
         self._transmissions.append(Occurrence(event.at, ""))
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -203,6 +203,22 @@
     assert [violation.rule for violation in Judge(Rules()).judge(history, 60000.0)] == rules
 
 
+@pytest.mark.parametrize(
+    ("end", "rules"), [("back", []), ("banned", ["rule 3"]), ("none", ["rule 3"])]
+)
+def test_the_judge_allows_a_banned_server_from_the_command_that_restores_it_if_that_is_accepted(
+    end: str, rules: list[str]
+) -> None:
+    # Guards against a false violation where the node acts before the operator has its answer.
+    history = History()
+    history.add(1000.0, "banned", NODE, what=SERVER)
+    history.add(9000.0, "restoring", NODE, what=SERVER)
+    add_answered_rpc(history, 9001.0, "q1")
+    if end != "none":
+        history.add(9006.0, end, NODE, what=SERVER)
+    assert [violation.rule for violation in Judge(Rules()).judge(history, 60000.0)] == rules
+
+
 @pytest.mark.parametrize(("closed_at", "rules"), [(1120.0, []), (0.0, ["second copy"])])
 def test_the_judge_takes_no_attempt_for_a_second_copy_that_is_read_after_its_node_closed_it(
     closed_at: float, rules: list[str]
