--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -53,7 +53,7 @@
 @pytest.mark.parametrize("seed", range(25))
 def test_rules_hold_on_sockets_whatever_the_peers_do(seed: int) -> None:
     faults = RandomFaults(seed)
-    for _ in range(500):
+    for _ in range(800):
         faults.step()
     for client in faults.clients:
         client.is_reading = True
