--- a/hookpitch/net/backend_connection.py
+++ b/hookpitch/net/backend_connection.py
@@ -2,8 +2,8 @@
 
 A connection carries at most one attempt at a time. Invariants: a connection returns to its pool
 only when the request was written completely and the response was received completely, with no bytes
-after it, and carries its next attempt no sooner than `REUSE_DELAY_MS` later; every attempt that was
-started ends by exactly one of `finish`, `connectionLost`, or a cancellation by `BackendPools`.
+after it; every attempt that was started ends by exactly one of `finish`, `connectionLost`, or a
+cancellation by `BackendPools`.
 """
 
 from __future__ import annotations
@@ -26,11 +26,6 @@
     from hookpitch.net.backend_pool import BackendPool
 
 
-# RESP2 and HTTP/1.1 do not tell which request a response belongs to. A response that a backend
-# sends twice, the second time some milliseconds late, would be taken for the next request's.
-REUSE_DELAY_MS = 15.0
-
-
 class BackendConnection(BufferedProtocol):
     """One connection to a backend; subclasses encode a request and read its response."""
 
@@ -42,7 +37,6 @@
         self.number = -1  # the connection's slot in the host's connection table
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
-        self.reusable_at = 0.0  # from then on the connection may carry its next attempt
         self.is_lost = False
 
     def connectionMade(self) -> None:
@@ -122,7 +116,6 @@
         attempt = self.attempt
         self.attempt = None
         if reuse and not self.has_unsent_bytes:
-            self.reusable_at = self.clock.now() + REUSE_DELAY_MS
             self.pool.release(self)
         else:
             # Without the reset, a response that never ends would stay open while the next attempt
--- a/hookpitch/net/backend_pool.py
+++ b/hookpitch/net/backend_pool.py
@@ -72,28 +72,17 @@
 
     def dispatch(self, attempt: Attempt) -> bool:
         """Start an attempt or queue it for a connect; return False where neither is possible."""
-        connection = self._take_reusable()
-        if connection is not None:
-            connection.begin(attempt)
-            return True
+        while self.idle:
+            connection = self.idle.pop()
+            if self._is_clean(connection):
+                connection.begin(attempt)
+                return True
         if len(self.connects) <= len(self.waiting) and not self._connect():
             return False
         self.waiting.append(attempt)
         attempt.carrier = self
         return True
 
-    def _take_reusable(self) -> BackendConnection | None:
-        """Remove the most recently used idle connection that may carry an attempt; None if none."""
-        now = self.clock.now()
-        while True:
-            reusable = (it for it in reversed(self.idle) if it.reusable_at <= now)
-            connection = next(reusable, None)
-            if connection is None:
-                return None
-            self.idle.remove(connection)
-            if self._is_clean(connection):
-                return connection
-
     def cancel(self, attempt: Attempt) -> None:
         """Remove an attempt from the queue if it still waits for a connection."""
         if attempt in self.waiting:
@@ -174,8 +163,7 @@
         """Give a free connection to a waiting attempt, or keep the connection as idle."""
         if connection.is_lost:
             return
-        is_reusable = connection.reusable_at <= self.clock.now()
-        if self.waiting and is_reusable:  # a waiting attempt need not wait for its own connect
+        if self.waiting:  # a waiting attempt need not wait for its own connect
             if self._is_clean(connection):
                 self._begin_first(connection)
             # Where this connection was aborted for its unread bytes, one waiting attempt has no
@@ -187,16 +175,6 @@
             connection.idle_since = self.host.now
             self.idle.append(connection)
             self._schedule_expiry()
-            if self.waiting:
-                self.clock.deadlines.add(connection.reusable_at, self._serve_waiting)
-
-    def _serve_waiting(self, now: float) -> None:
-        """Give connections that have become reusable to the attempts that still wait."""
-        while self.waiting:
-            connection = self._take_reusable()
-            if connection is None:
-                return
-            self._begin_first(connection)
 
     def connection_lost(self, connection: BackendConnection) -> None:
         """Remove a connection that was closed by either end."""
