Test the reactor's priority: backends and operators are read before clients

test_reactor_iterations_are_short_and_backends_come_first passed with an empty LOW_PRIORITY: its fake clients were of a subclass, which the reactor does not take for clients, and its last assertion allowed any order. It is two tests now: one keeps the bound on a turn's events and that each socket is read; the other has sockets of exactly the reactor's types, clients added first, and requires the one backend or operator before all of them. With LOW_PRIORITY emptied by hand its three cases fail.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,6 +4,8 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
@@ -13,10 +15,17 @@
 from socket_node import ORIGIN_PORT, NodeOnMemoryNetwork, get_command
 from test_sockets import VALUE, answer_caches
 from test_start import NODE_FILE
+from twisted.internet.tcp import Client
 
 from hookpitch.balancer.interface import Method, Tenant
 from hookpitch.core.admission import UNLIMITED, Admission
-from hookpitch.net.prioritized_reactor import EVENTS_PER_TURN, PrioritizedReactor, Server
+from hookpitch.net.prioritized_reactor import (
+    EVENTS_PER_TURN,
+    AdminPort,
+    AdminTransport,
+    PrioritizedReactor,
+    Server,
+)
 
 SOFT_DEADLINE_MS = 200.0
 ADMITTED_CPU_MS, REJECTED_CPU_MS = 0.5, 0.06  # CPU time of an RPC
@@ -387,50 +396,58 @@
 
 
 class ReadableSocket:
-    """A socket with unread input; it records in `order` when it is read."""
-
-    def __init__(self, order: list[str], name: str) -> None:
-        self.polled_end, peer_end = socket.socketpair()
-        peer_end.send(b"x")
-        self.peer_end, self.order, self.name = peer_end, order, name
-
-    def fileno(self) -> int:
-        """Return the descriptor that the reactor polls."""
-        return self.polled_end.fileno()
-
-    def doRead(self) -> None:  # noqa: N802
-        """Record the read."""
-        self.order.append(self.name)
-
-    def connectionLost(self, reason: object) -> None:  # noqa: N802
-        """Ignore the end of the connection."""
+    """A socket with unread input; it records in `order` when it is read.
+
+    `selectable` is what the reactor handles. It has exactly the given type, as the reactor tells
+    clients' connections from others by it.
+    """
+
+    def __init__(self, selectable_type: type, order: list[str], name: str) -> None:
+        self.polled_end, self.peer_end = socket.socketpair()
+        self.peer_end.send(b"x")
+        self.selectable = selectable_type.__new__(selectable_type)
+        self.selectable.fileno = self.polled_end.fileno
+        self.selectable.doRead = lambda: order.append(name)
+        self.selectable.connectionLost = lambda reason: None
+
+    def close(self) -> None:
+        """Close both ends."""
+        self.polled_end.close()
+        self.peer_end.close()
+
+
+@contextmanager
+def polled(*sockets: ReadableSocket) -> Iterator[PrioritizedReactor]:
+    """Return a reactor that polls these sockets, in this order."""
+    reactor = PrioritizedReactor()
+    for readable in sockets:
+        reactor.addReader(readable.selectable)
+    yield reactor
+    for readable in sockets:
+        reactor.removeReader(readable.selectable)
+        readable.close()
 
 
-class ClientSocket(ReadableSocket, Server):
-    """A socket that the reactor takes for a connection from a client."""
+def test_reactor_iterations_are_short_and_read_every_socket() -> None:
+    order = list[str]()
+    sockets = [ReadableSocket(Server, order, "client") for _ in range(3 * EVENTS_PER_TURN)]
+    sockets.append(ReadableSocket(Client, order, "server"))
+    with polled(*sockets) as reactor:
+        reactor.doPoll(0)
+        assert 0 < len(order) <= EVENTS_PER_TURN
+        for _ in range(3):
+            reactor.doPoll(0)
+    assert order.count("server") >= 1 and len(order) >= 3 * EVENTS_PER_TURN, "each socket was read"
 
 
-def test_reactor_iterations_are_short_and_backends_come_first() -> None:
-    reactor, order = PrioritizedReactor(), list[str]()
-    sockets = [ClientSocket(order, "client") for _ in range(3 * EVENTS_PER_TURN)] + [
-        ReadableSocket(order, "server")
-    ]
-    for readable in sockets:
-        reactor.addReader(readable)
-    reactor.doPoll(0)
-    assert 0 < len(order) <= EVENTS_PER_TURN
-    for _ in range(3):
+@pytest.mark.parametrize("first_type", [Client, AdminTransport, AdminPort])
+def test_a_reactor_iteration_reads_backends_and_operators_before_clients(first_type: type) -> None:
+    # The kernel reports the sockets in the order in which they were added.
+    order = list[str]()
+    clients = [ReadableSocket(Server, order, "client") for _ in range(EVENTS_PER_TURN - 1)]
+    with polled(*clients, ReadableSocket(first_type, order, "first")) as reactor:
         reactor.doPoll(0)
-    assert order.count("server") >= 1 and len(order) >= 3 * EVENTS_PER_TURN, "each socket was read"
-    server_index = order.index("server")
-    turn = order[server_index // EVENTS_PER_TURN * EVENTS_PER_TURN :]
-    assert turn[0] == "server" or server_index < 3, (
-        "the backend is read before the clients of its iteration"
-    )
-    for readable in sockets:
-        reactor.removeReader(readable)
-        readable.polled_end.close()
-        readable.peer_end.close()
+    assert order == ["first"] + ["client"] * (EVENTS_PER_TURN - 1)
 
 
 def test_more_connections_than_descriptors_are_all_answered(tmp_path: Path) -> None:
