--- a/hookpitch/balancer/rebalancing.py
+++ b/hookpitch/balancer/rebalancing.py
@@ -154,7 +154,7 @@
         if self._placement.reserve_capacity():
             self._placement.assign_all()
         buckets_by_cache = self._measured_caches()
-        self.keys.rotate_if_due(now)
+        self.keys.rotate_if_due(now, self._placement.buckets.values())
         self._update_bucket_rates(buckets_by_cache)
         caches = list(buckets_by_cache)
         if len(caches) < 2:
