Give large buffers back to the system as soon as they are freed

glibc keeps blocks of up to 32 MB in its heap once one was freed, and small objects leave gaps there. mallopt(M_MMAP_THRESHOLD, 32 KB), where the C library has it.

--- a/hookpitch/service.py
+++ b/hookpitch/service.py
@@ -17,6 +17,7 @@
 
 from hookpitch.core.counters import Counters
 from hookpitch.net import log, prioritized_reactor
+from hookpitch.net.allocator import return_large_blocks
 from hookpitch.net.clock import Clock
 from hookpitch.net.node import SocketNode
 from hookpitch.net.node_config import load_node_config, load_reloaded_config
@@ -37,6 +38,7 @@
     except ValueError as error:
         return _cannot_start(error)
     _limit_descriptors(config.descriptor_limit)
+    return_large_blocks()
     reactor = prioritized_reactor.install()
     # By default Twisted's timers follow the wall clock; setting it back would delay every deadline.
     reactor.seconds = time.monotonic
