--- a/hookpitch/core/collected_body.py
+++ b/hookpitch/core/collected_body.py
@@ -7,11 +7,10 @@
 
 from __future__ import annotations
 
-from hookpitch.core.resp import MAX_BULK_BYTES
-from hookpitch.core.stream import ChunkedValue, MemoryBudget
+from hookpitch.core.memory_budget import MemoryBudget
+from hookpitch.core.stream import ChunkedValue
 
-# A body up to this size costs no more than a value that is buffered in a connection.
-UNRESERVED_BYTES = MAX_BULK_BYTES
+UNRESERVED_BYTES = 4096  # a body up to this size costs no more than the record of its RPC
 
 
 class CollectedBody:
--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -26,6 +26,7 @@
 from hookpitch.core.deadlines import Deadlines
 from hookpitch.core.decision_runner import DecisionRunner
 from hookpitch.core.interfaces import Client, Logger, Transport
+from hookpitch.core.memory_budget import MemoryBudget
 from hookpitch.core.reply_slot import ReplySlot
 from hookpitch.core.request_parser import is_forwardable, parse_extras
 from hookpitch.core.resp import bulk
@@ -34,12 +35,14 @@
 from hookpitch.core.rpc_table import RpcTable
 from hookpitch.core.rpc_timers import RpcTimers
 from hookpitch.core.slot_table import SlotTable
-from hookpitch.core.stream import MemoryBudget, Source
-from hookpitch.core.streamed_replies import StreamedReplies
+from hookpitch.core.stream import Source
+from hookpitch.core.streamed_replies import StreamedReplies, StreamStart
 
 NO_REPORT: Report = {}
 DEFAULT_DEADLINE_MS = 1000.0  # soft and hard, in a deployment without methods
-DEFAULT_VALUE_BUDGET_BYTES = 1 << 24
+DEFAULT_MEMORY_BYTES = 1 << 26
+# No single use may take all of the memory, so that the others go on.
+MAX_FRACTION_OF_ONE_USE = 0.5
 MAX_LOGGED_PER_KIND = 3  # log lines per kind of malformed input; every occurrence is counted
 MAX_LOGGED_TEXT = 200  # characters of the malformed input in a log line
 
@@ -71,14 +74,24 @@
         self.transport: Transport
         self.router = Router(now, deployment)
         self.admission = Admission(now, soft_ms)
-        self.value_budget = MemoryBudget(DEFAULT_VALUE_BUDGET_BYTES)
+        self.memory = MemoryBudget(DEFAULT_MEMORY_BYTES)  # of all that clients make the node hold
+        self.rpc_budget = MemoryBudget(0, self.memory)  # records of RPCs
+        self.value_budget = MemoryBudget(0, self.memory)  # large values of requests, and bodies
+        self.reply_budget = MemoryBudget(0, self.memory)  # responses that clients have not read
+        self.limit_memory(DEFAULT_MEMORY_BYTES)
         self.stream_timeout_ms = hard_ms
         self.connections: SlotTable[object] = SlotTable()
-        self.rpcs = RpcTable(deadlines, counters, self.value_budget)
+        self.rpcs = RpcTable(deadlines, counters, self.rpc_budget, self.value_budget)
         self.timers = RpcTimers(self)
         self._streams = StreamedReplies(self)
         self._decisions = DecisionRunner(self)
 
+    def limit_memory(self, limit: int) -> None:
+        """Limit the bytes of memory that requests and responses may take in all."""
+        self.memory.limit = limit
+        for budget in (self.rpc_budget, self.value_budget, self.reply_budget):
+            budget.limit = int(MAX_FRACTION_OF_ONE_USE * limit)
+
     def decide(self, now: float) -> None:
         """Carry out the router's decisions until there are none; a nested call does nothing."""
         self._decisions.run(now)
@@ -105,6 +118,11 @@
         timeout_ms = fields.timeout_within(method.hard_ms)
         if not timeout_ms > 0:
             return None
+        if not self.rpcs.has_room:
+            self.counters.add("rpcs.no_memory")
+            self._count_rejected(method)
+            slot.answer = self.busy_reply(self.router.load_shedder.retry_after_ms(method))
+            return None
         self.admission.record_arrival(age_ms)
         retry_after_ms = self.router.shed_delay(now, method.name, fields.tenant, age_ms)
         if retry_after_ms >= 0 or age_ms >= timeout_ms:
@@ -238,8 +256,10 @@
         self.rpcs.release(rpc)
         self.decide(now)
 
-    def stream_started(self, now: float, attempt: Attempt, length: int, source: Source) -> bool:
-        """Handle the start of a large reply; return False if the reply is no longer needed."""
+    def stream_started(
+        self, now: float, attempt: Attempt, length: int, source: Source
+    ) -> StreamStart:
+        """Handle the start of a large reply; return whether it is forwarded."""
         return self._streams.start(now, attempt, length, source)
 
     def stream_chunk(self, now: float, attempt: Attempt, data: bytes) -> None:
--- a/hookpitch/core/interfaces.py
+++ b/hookpitch/core/interfaces.py
@@ -50,6 +50,9 @@
     def reply(self, slot: ReplySlot, answer: bytes) -> None:
         """Answer an RPC; `answer` is the end of the reply where the reply was streamed."""
 
+    def reserve_stream_memory(self) -> bool:
+        """Reserve memory for a reply that arrives in chunks; return False if there is none."""
+
     def stream_started(self, slot: ReplySlot, stream: Stream) -> None:
         """Prepare for a reply that arrives in chunks."""
 
--- a/hookpitch/core/reply_slot.py
+++ b/hookpitch/core/reply_slot.py
@@ -6,7 +6,8 @@
 class ReplySlot:
     """Holds the encoded reply to one command in `answer`: None until the reply is known."""
 
-    __slots__ = ("answer",)
+    __slots__ = ("answer", "held_bytes")
 
-    def __init__(self, answer: bytes | None = None) -> None:
-        self.answer = answer
+    def __init__(self) -> None:
+        self.answer: bytes | None = None
+        self.held_bytes = 0  # of the budget of unread replies, while the answer waits
--- a/hookpitch/core/resp.py
+++ b/hookpitch/core/resp.py
@@ -18,8 +18,11 @@
 
 MAX_BULK_BYTES = 65536
 MAX_LINE_BYTES = 4096
+MAX_COMMAND_LINE_BYTES = 512  # the lines of a command are the headers of its words alone
 MAX_ARRAY_ITEMS = 16
 MAX_ARRAY_DEPTH = 4
+MAX_COMMAND_WORD_BYTES = 2048  # a longer word of a command is dropped, as no command has one
+MAX_BUFFERED_VALUE_BYTES = 4096  # the value of a command up to this size is read with its words
 MAX_SHORT_ARRAY_BYTES = 2048  # an array of bulk strings of up to this size is read in one step
 MAX_INTEGER_DIGITS = 20  # including the sign
 MAX_INTEGER = 2**63 - 1
@@ -43,12 +46,17 @@
     """An error reply, without the leading dash."""
 
 
+class DroppedWord(bytes):
+    """The empty placeholder of a command's word that was too long, or one too many, to be kept."""
+
+
 class NeedData(Enum):
     """The type of `NEED_DATA`."""
 
     NEED_DATA = "need data"
 
 
+DROPPED_WORD: Final = DroppedWord()
 NEED_DATA: Final = NeedData.NEED_DATA  # no complete value yet (`None` is a value: a null)
 
 Value = bytes | int | None | list["Value"]
@@ -67,20 +75,27 @@
 class Parser:
     """Reads complete values from a ring.
 
-    With `commands_only` only arrays of bulk strings are accepted, as clients send them. The value
-    in a command or a reply may have up to `max_value_bytes`. A value over `MAX_BULK_BYTES` is not
-    collected: `body_remaining` is set to its length and an empty string takes its place in the
-    array. The caller has to consume that many bytes: either it reads them from the ring with
-    `read_body`, or it takes them before they are written to the ring and lowers `body_remaining`.
+    With `commands_only` only arrays of bulk strings are accepted, as clients send them. The words
+    of a command that could not be used anyway are dropped as they arrive, so that a client that
+    stops in the middle of a command leaves a few kilobytes at the most.
+
+    The value in a command or a reply may have up to `max_value_bytes`. A value over
+    `MAX_BUFFERED_VALUE_BYTES` in a command, or over `MAX_BULK_BYTES` in a reply, is not collected:
+    `body_remaining` is set to its length and an empty string takes its place in the array. The
+    caller has to consume that many bytes: either it reads them from the ring with `read_body`, or
+    it takes them before they are written to the ring and lowers `body_remaining`.
     """
 
     __slots__ = (
         "ring",
         "commands_only",
         "body_remaining",
+        "_max_line_bytes",
         "_max_value_bytes",
         "_open_arrays",
         "_bulk_length",
+        "_dropped_remaining",
+        "_placeholder",
         "_scanned",
     )
 
@@ -89,8 +104,11 @@
         self.commands_only = commands_only
         self.body_remaining = 0
         self._max_value_bytes = max_value_bytes
+        self._max_line_bytes = MAX_COMMAND_LINE_BYTES if commands_only else MAX_LINE_BYTES
         self._open_arrays: list[_OpenArray] = []  # the outermost array first
         self._bulk_length = -1  # of the bulk string whose header has been read; -1: none
+        self._dropped_remaining = 0  # bytes of a word that are still to be dropped
+        self._placeholder: bytes | None = None  # takes the place of a word that is dropped
         self._scanned = 0  # offset up to which the ring holds no line end
 
     @property
@@ -182,6 +200,8 @@
 
     def _read_item(self) -> Value | _OpenArray | NeedData:
         """Read one value, or the header of an array."""
+        if self._dropped_remaining and not self._drop_word():
+            return NEED_DATA
         if self._bulk_length >= 0:
             return self._read_bulk_body()
         line = self._read_line()
@@ -217,13 +237,13 @@
         end = self.ring.find_line_end(self._scanned)
         if end < 0:
             self._scanned = len(self.ring)
-            if self._scanned > MAX_LINE_BYTES:
+            if self._scanned > self._max_line_bytes:
                 raise ProtocolError("line too long")
             if self.commands_only and self._scanned and self.ring.peek(1) not in (b"*", b"$"):
                 raise ProtocolError("an array of bulk strings was due")
             return None
         self._scanned = 0
-        if end > MAX_LINE_BYTES:
+        if end > self._max_line_bytes:
             raise ProtocolError("line too long")
         line = self.ring.read(end + 1)
         if line[-2:] != b"\r\n":
@@ -237,13 +257,34 @@
             if self.commands_only:
                 raise ProtocolError("null in a command")
             return None
-        if length > MAX_BULK_BYTES:
+        if self._is_unused_word(length):
+            self._dropped_remaining = length
+            self._placeholder = DROPPED_WORD
+            self._bulk_length = 0
+            return self._read_item()
+        if length > (MAX_BUFFERED_VALUE_BYTES if self.commands_only else MAX_BULK_BYTES):
             self.body_remaining = length
             self._bulk_length = 0
             return NEED_DATA
         self._bulk_length = length
         return self._read_bulk_body()
 
+    def _is_unused_word(self, length: int) -> bool:
+        """Return whether the bulk string at the current position is a word that no command has."""
+        if not self.commands_only:
+            return False
+        index = len(self._open_arrays[0].items)
+        return index > COMMAND_VALUE_INDEX or (
+            index < COMMAND_VALUE_INDEX and length > MAX_COMMAND_WORD_BYTES
+        )
+
+    def _drop_word(self) -> bool:
+        """Drop the bytes of an unused word that have arrived; return whether it is complete."""
+        count = min(self._dropped_remaining, len(self.ring))
+        self.ring.skip(count)
+        self._dropped_remaining -= count
+        return not self._dropped_remaining
+
     def _max_bulk_bytes(self) -> int:
         """Return the size limit for a bulk string at the current position."""
         if len(self._open_arrays) == 1:
@@ -260,7 +301,9 @@
         if body[-2:] != b"\r\n":
             raise ProtocolError("a bulk string is longer than told")
         self._bulk_length = -1
-        return body[:-2]
+        placeholder = self._placeholder
+        self._placeholder = None
+        return body[:-2] if placeholder is None else placeholder
 
 
 def _parse_integer(text: bytes, minimum: int, maximum: int) -> int:
--- a/hookpitch/core/ring.py
+++ b/hookpitch/core/ring.py
@@ -1,11 +1,13 @@
 """A ring buffer of bytes that grows on demand: one per direction on each connection.
 
-Invariant: the capacity is a power of two, so that offsets wrap with a mask.
+Invariant: the capacity is 0 or a power of two, so that offsets wrap with a mask.
 """
 
 from __future__ import annotations
 
-INITIAL_CAPACITY = 4096  # bytes; a ring that has grown shrinks to this size once it is empty
+# Bytes; a ring takes none before its first use, and shrinks to this size once it is empty. Most
+# connections are idle most of the time, and a short command fits.
+INITIAL_CAPACITY = 256
 
 
 class Ring:
@@ -14,7 +16,7 @@
     __slots__ = ("_bytes", "_head", "_used")
 
     def __init__(self) -> None:
-        self._bytes = bytearray(INITIAL_CAPACITY)
+        self._bytes = bytearray()
         self._head = 0
         self._used = 0
 
@@ -42,7 +44,7 @@
         self._used = needed
 
     def _grow(self, needed: int) -> None:
-        capacity = len(self._bytes)
+        capacity = max(INITIAL_CAPACITY, len(self._bytes))
         while capacity < needed:
             capacity *= 2
         grown = bytearray(capacity)
@@ -67,7 +69,7 @@
         if not self._used and len(self._bytes) > INITIAL_CAPACITY:
             # Otherwise hundreds of connections that each received one large value would keep its
             # memory for as long as they are open.
-            self._bytes = bytearray(INITIAL_CAPACITY)
+            self._bytes = bytearray()
 
     def read(self, count: int) -> bytes:
         """Remove up to `count` bytes and return them."""
--- a/hookpitch/core/rpc_table.py
+++ b/hookpitch/core/rpc_table.py
@@ -10,10 +10,12 @@
 from hookpitch.core.counter_names import FinalResult
 from hookpitch.core.counters import Counters
 from hookpitch.core.deadlines import Deadlines
+from hookpitch.core.memory_budget import MemoryBudget
 from hookpitch.core.rpc import Rpc
 from hookpitch.core.slot_table import SlotTable
-from hookpitch.core.stream import ChunkedValue, MemoryBudget
+from hookpitch.core.stream import ChunkedValue
 
+RPC_BYTES = 4096  # of the records of an RPC and its attempts here and in the router
 FAILED_REPLY = b"-ERR failed\r\n"
 
 
@@ -21,10 +23,15 @@
     """RPCs by number; the router identifies an RPC by the decimal text of its number."""
 
     def __init__(
-        self, deadlines: Deadlines, counters: Counters, value_budget: MemoryBudget
+        self,
+        deadlines: Deadlines,
+        counters: Counters,
+        rpc_budget: MemoryBudget,
+        value_budget: MemoryBudget,
     ) -> None:
         self._deadlines = deadlines
         self._counters = counters
+        self._rpc_budget = rpc_budget
         self._value_budget = value_budget
         self._slots: SlotTable[Rpc] = SlotTable()
         self.ids: set[bytes] = set()
@@ -33,8 +40,14 @@
     def __len__(self) -> int:
         return len(self._slots)
 
+    @property
+    def has_room(self) -> bool:
+        """Whether there is memory for one more RPC."""
+        return self._rpc_budget.available >= RPC_BYTES
+
     def add(self, rpc: Rpc) -> None:
         """Add an RPC and set its number."""
+        self._rpc_budget.hold(RPC_BYTES)
         self.ids.add(rpc.id)
         rpc.number = self._slots.add(rpc)
         self._counters.add("rpcs.taken")
@@ -75,7 +88,10 @@
         if rpc.pending or rpc.in_flight:
             return
         self._deadlines.cancel(rpc.timer)
+        if self._slots.get(rpc.number) is None:
+            return
         self._slots.free(rpc.number)
+        self._rpc_budget.release(RPC_BYTES)
         if isinstance(rpc.value, ChunkedValue):
             self._value_budget.release(len(rpc.value))
             rpc.value = b""
--- a/hookpitch/core/stream.py
+++ b/hookpitch/core/stream.py
@@ -1,4 +1,4 @@
-"""Large values: replies that are streamed, and writes that are collected under a memory budget.
+"""Large values: replies that are streamed, and values that are collected in chunks.
 
 A reply value over `resp.MAX_BULK_BYTES` is forwarded in chunks, from the backend's connection (the
 source) to the client's. Its last `TAIL_BYTES` are retained until the backend's complete reply has
@@ -16,7 +16,9 @@
 MAX_STREAMED_BYTES = 1 << 22  # the largest value that is accepted at all
 # The bytes that may wait unsent for a slow reader: with few streams, and with many.
 MAX_UNSENT_BYTES = 1 << 17
-MIN_UNSENT_BYTES = 1 << 14
+MIN_UNSENT_BYTES = 1 << 12
+# Reserved for a stream before it starts: its reader may leave so much unread, plus one chunk.
+MIN_STREAM_MEMORY_BYTES = 1 << 14
 
 
 class Source(Protocol):
@@ -75,24 +77,3 @@
             self.chunks[-1] += data
         else:
             self.chunks.append(bytearray(data))
-
-
-class MemoryBudget:
-    """Limits the memory for large writes of all clients, so that many at once cannot exhaust it."""
-
-    __slots__ = ("used", "limit")
-
-    def __init__(self, limit: int) -> None:
-        self.used = 0
-        self.limit = limit
-
-    def reserve(self, count: int) -> bool:
-        """Reserve `count` bytes; return False if the limit does not allow it."""
-        if self.used + count > self.limit:
-            return False
-        self.used += count
-        return True
-
-    def release(self, count: int) -> None:
-        """Return `count` reserved bytes to the budget."""
-        self.used -= count
--- a/hookpitch/core/streamed_replies.py
+++ b/hookpitch/core/streamed_replies.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from hookpitch.balancer.interface import Outcome
@@ -17,18 +18,28 @@
     from hookpitch.core.host import Host
 
 
+class StreamStart(Enum):
+    """Whether a reply is forwarded as it arrives."""
+
+    STARTED = "started"
+    NOT_NEEDED = "not needed"  # no client waits for it, or another attempt's reply came first
+    NO_MEMORY = "no memory"
+
+
 class StreamedReplies:
     """The streamed replies of one host."""
 
     def __init__(self, host: Host) -> None:
         self._host = host
 
-    def start(self, now: float, attempt: Attempt, length: int, source: Source) -> bool:
-        """Start to forward the reply of an attempt; return False if it is no longer needed."""
+    def start(self, now: float, attempt: Attempt, length: int, source: Source) -> StreamStart:
+        """Start to forward the reply of an attempt."""
         host = self._host
         rpc = attempt.rpc
         if attempt.done or not rpc.pending or rpc.stream is not None:
-            return False
+            return StreamStart.NOT_NEEDED
+        if not rpc.client.reserve_stream_memory():
+            return StreamStart.NO_MEMORY
         host.counters.add("streams")
         rpc.stream = Stream(source, length, max(0.0, now - attempt.sent_at), now)
         rpc.streaming_attempt = attempt
@@ -38,7 +49,7 @@
         host.timers.watch(rpc, now + host.stream_timeout_ms)
         rpc.client.stream_started(rpc.slot, rpc.stream)
         host.decide(now)  # so that a hedged attempt is cancelled at once
-        return True
+        return StreamStart.STARTED
 
     def forward_chunk(self, now: float, attempt: Attempt, data: bytes) -> None:
         """Forward the next chunk of a reply."""
--- a/hookpitch/net/backend_connection.py
+++ b/hookpitch/net/backend_connection.py
@@ -17,10 +17,17 @@
 from hookpitch.balancer.deployment import parse_load_report
 from hookpitch.balancer.interface import Outcome, Report
 from hookpitch.core.host import NO_REPORT
+from hookpitch.core.memory_budget import MemoryUse
 from hookpitch.core.resp import NEED_DATA, ErrorReply, Parser, ProtocolError, Value, command
 from hookpitch.core.rpc import Attempt
 from hookpitch.core.stream import MAX_STREAMED_BYTES, ChunkedValue
-from hookpitch.net.buffered_protocol import WRITE_CHUNK_BYTES, BufferedProtocol
+from hookpitch.core.streamed_replies import StreamStart
+from hookpitch.net.buffered_protocol import (
+    WRITE_CHUNK_BYTES,
+    BufferedProtocol,
+    allocated_bytes,
+)
+from hookpitch.net.stored_reply import OUTCOMES_WITHOUT_STREAM
 
 if TYPE_CHECKING:
     from hookpitch.net.backend_pool import BackendPool
@@ -36,12 +43,14 @@
         self.clock = pool.clock
         self.number = -1  # the connection's slot in the host's connection table
         self.attempt: Attempt | None = None
+        self._input_memory = MemoryUse(self.host.reply_budget)
         self.idle_since = 0.0
         self.is_lost = False
 
     def connectionMade(self) -> None:
         """Register the connection and hand it to its pool."""
         super().connectionMade()
+        self.limit_reads(self.pool.pools.read_bytes)
         self.number = self.host.connections.add(self)
         self.pool.connection_made(self)
 
@@ -71,6 +80,18 @@
         if self.attempt is not None:
             self._request_written()
 
+    # ---- the memory of a response
+
+    def account_input(self) -> None:
+        """Reserve the memory of an incomplete response; end its attempt where there is none."""
+        held = allocated_bytes(self.input_buffer)
+        if held == self._input_memory.held:
+            return
+        if self.attempt is None:
+            self._input_memory.set(held)
+        elif not self._input_memory.try_set(held):
+            self.finish(Outcome.NO_MEMORY, reuse=False)
+
     # ---- a streamed response (core.stream.Source)
 
     def pause(self) -> None:
@@ -89,9 +110,10 @@
         if attempt is None:
             self.fail_malformed("unsolicited response")
             return False
-        if self.host.stream_started(self.clock.now(), attempt, length, self):
+        start = self.host.stream_started(self.clock.now(), attempt, length, self)
+        if start is StreamStart.STARTED:
             return True
-        self.finish(Outcome.CANCELLED, reuse=False)
+        self.finish(OUTCOMES_WITHOUT_STREAM[start], reuse=False)
         return False
 
     # ---- the end of an attempt
@@ -154,6 +176,7 @@
         if attempt is not None:
             self._end_interrupted_attempt(attempt)
         self.release_buffers()
+        self._input_memory.set(0)
 
     def _end_interrupted_attempt(self, attempt: Attempt) -> None:
         # An RPC that ran must not be reported as not executed, or it would run twice. The backend
@@ -200,6 +223,7 @@
             if not data:
                 return
         super().rawDataReceived(data)
+        self.account_input()
 
     def bytes_received(self) -> None:
         """Read the part of the response that has been received."""
--- a/hookpitch/net/backend_pools.py
+++ b/hookpitch/net/backend_pools.py
@@ -17,6 +17,7 @@
 from hookpitch.net.backend_pool import BackendPool, ConnectionType
 from hookpitch.net.clock import Clock
 
+DEFAULT_READ_BYTES = 1 << 16
 # An idle connection is closed after this fraction of the time after which the backend would close
 # it, so that no request meets the backend's close.
 IDLE_TIMEOUT_FRACTION = 0.9
@@ -37,6 +38,7 @@
         self.clock = clock
         self.host = host
         self.max_descriptors = max_descriptors
+        self.read_bytes = DEFAULT_READ_BYTES  # read from a connection at a time
         self.descriptors_used = 0
         self.by_backend: dict[str, BackendPool] = {}
         self._origin_connection_type = origin_connection_type
--- a/hookpitch/net/buffered_protocol.py
+++ b/hookpitch/net/buffered_protocol.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterable
 from socket import IPPROTO_TCP, MSG_PEEK, SHUT_WR, TCP_INFO
 from struct import unpack_from
@@ -20,9 +19,9 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
-from hookpitch.core.ring import Ring
+from hookpitch.core.ring import INITIAL_CAPACITY, Ring
 
-WRITE_CHUNK_BYTES = 65536  # passed to the transport at a time, once the previous bytes are written
+WRITE_CHUNK_BYTES = 65536  # written to the socket at a time
 
 # Linux's struct tcp_info (linux/tcp.h). The first byte is the connection's state.
 TCP_INFO_BYTES = 148
@@ -38,6 +37,11 @@
     return unpack_from("I", info, offset)[0] if len(info) >= offset + 4 else 0
 
 
+def allocated_bytes(buffer: Ring) -> int:
+    """Return the memory of a buffer beyond the little that every connection is granted."""
+    return buffer.capacity if buffer.capacity > INITIAL_CAPACITY else 0
+
+
 class _OutputProducer:
     """Passes a protocol's buffered output to the transport whenever the transport can write."""
 
@@ -61,7 +65,7 @@
         self.output_buffer = Ring()
         self.write_pending = False  # a producer is registered: output waits for the transport
         self.is_reading = False  # received bytes are being handled further up the call stack
-        self._chunks = deque[bytes]()  # large chunks, sent without a copy after the output buffer
+        self._chunks: list[bytes] = []  # large chunks, sent without a copy after the output buffer
         self._plain_transport: Any = None  # the transport, where its socket may be used directly
 
     def connectionMade(self) -> None:
@@ -150,6 +154,11 @@
             pass
         return True
 
+    def limit_reads(self, count: int) -> None:
+        """Read at most `count` bytes from the socket at a time."""
+        if self._plain_transport is not None:
+            self._plain_transport.bufferSize = count
+
     def read_now(self) -> None:
         """Read the bytes in the kernel without waiting for the event loop's next turn."""
         getattr(self.transport, "doRead", lambda: None)()
@@ -189,15 +198,42 @@
         return len(self.output_buffer) > 0 or len(self._chunks) > 0
 
     def resume_writing(self) -> None:
-        """Pass the next chunk to the transport, which calls this after it has written the last."""
+        """Write the next bytes; the transport calls this whenever it has written all it was given.
+
+        The output buffer is written to the socket directly, so that the bytes that a slow peer has
+        no room for are not held a second time by the transport.
+        """
         if len(self.output_buffer):
-            self.transport.write(self.output_buffer.read(WRITE_CHUNK_BYTES))
+            self._write_output()
         elif self._chunks:
-            self.transport.write(self._chunks.popleft())
+            self.transport.write(self._chunks.pop(0))
         elif self.write_pending:
-            self.write_pending = False
-            self.transport.unregisterProducer()
-            self.all_written()
+            self._finish_writing()
+
+    def _write_output(self) -> None:
+        plain = self._plain_transport
+        data = self.output_buffer.peek(WRITE_CHUNK_BYTES)
+        if plain is None or not plain.connected or plain.disconnecting:
+            self.output_buffer.skip(len(data))
+            self.transport.write(data)
+            return
+        try:
+            self.output_buffer.skip(plain.socket.send(data))
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.output_buffer.skip(len(data))
+            self.transport.write(data)  # the transport reports the cause when it writes
+            return
+        if self.has_unsent_bytes:
+            plain.startWriting()
+        else:
+            self._finish_writing()
+
+    def _finish_writing(self) -> None:
+        self.write_pending = False
+        self.transport.unregisterProducer()
+        self.all_written()
 
     def _start_writing(self) -> None:
         self.write_pending = True
--- a/hookpitch/net/client_connection.py
+++ b/hookpitch/net/client_connection.py
@@ -9,8 +9,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Callable
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -19,34 +17,39 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from hookpitch.core.incoming_value import IncomingValue
+from hookpitch.core.memory_budget import MemoryUse
+from hookpitch.core.reply_queue import ReplyQueue
 from hookpitch.core.reply_slot import ReplySlot
-from hookpitch.core.resp import NEED_DATA, Parser, ProtocolError, bulk
+from hookpitch.core.resp import NEED_DATA, Parser, ProtocolError
 from hookpitch.core.rpc import Rpc
-from hookpitch.core.stream import MAX_STREAMED_BYTES, ChunkedValue, Stream
-from hookpitch.net.buffered_protocol import WRITE_CHUNK_BYTES, BufferedProtocol
+from hookpitch.core.rpc_table import FAILED_REPLY
+from hookpitch.core.stream import MAX_STREAMED_BYTES, MIN_STREAM_MEMORY_BYTES, Stream
+from hookpitch.net.buffered_protocol import (
+    WRITE_CHUNK_BYTES,
+    BufferedProtocol,
+    allocated_bytes,
+)
+from hookpitch.net.client_commands import run_command
 
 if TYPE_CHECKING:
     from hookpitch.net.client_registry import ClientRegistry
 
-RPC_WORD_COUNTS = {b"OBJ.GET": 4, b"OBJ.SET": 5}
-
-# While reading is paused, a client's commands wait in the kernel while their deadlines run, and may
-# be forwarded after their deadlines. These two bounds are therefore far above what a well-behaved
-# client has in flight.
+# While a client's commands wait unread in the kernel, their deadlines run. These two bounds are
+# therefore far above what a well-behaved client has in flight.
 MAX_UNREAD_REPLY_BYTES = 1 << 23
 MAX_PENDING_COMMANDS = 4096
+# The same while the node is short of memory.
+MAX_UNREAD_WITHOUT_MEMORY_BYTES = 1 << 16
+MAX_PENDING_WITHOUT_MEMORY = 32
 
-COMMANDS_PER_TURN = 32  # commands of one connection per turn of the event loop
+COMMANDS_PER_TURN = 8  # commands of one connection that are run as soon as they are read
 VALUE_PROGRESS_BYTES = 4096  # bytes of a large value after which its client counts as active
 # From when the client's kernel has acknowledged the last reply until the close, so that the client
 # can read it.
 LINGER_MS = 100.0
 DELIVERY_CHECK_MS = 20.0  # interval at which the acknowledgement of the last reply is checked
 STALE_READ_MS = 50.0  # the client of a command read later than this may have disconnected
-REFUSED_VALUE = ChunkedValue()  # placeholder for a large value that exceeds the memory budget
-
-FAILED = b"-ERR failed\r\n"
-BUSY = b"-BUSY\r\n"
 
 
 @implementer(IHalfCloseableProtocol)
@@ -63,11 +66,14 @@
         )
         self.number = -1  # the connection's slot in the host's connection table
 
-        self.pending_replies: deque[ReplySlot] = deque()  # one for each command, in order
+        self.pending_replies = ReplyQueue(self.host.reply_budget)
         self.rpcs: dict[ReplySlot, Rpc] = {}  # open RPCs
         self.streams: dict[ReplySlot, Stream] = {}  # responses whose first bytes have arrived
         self.current_stream: Stream | None = None  # the stream that is being sent
-        self.value: ChunkedValue | None = None  # the large value of a command, while it arrives
+        self.value: IncomingValue | None = None  # the large value of a command, while it arrives
+        self._input_memory = MemoryUse(self.host.memory)
+        self._output_memory = MemoryUse(self.host.reply_budget)
+        self._has_stream_memory = False  # reserved for the streams of this connection
 
         self.is_closing = False  # nothing more is read
         self.is_lost = False  # the connection has closed
@@ -76,16 +82,22 @@
         self.is_close_scheduled = False  # a drain closes this connection at a later time
         self.client_has_left = False  # the client had stopped sending when its commands were read
         self.peer_half_closed = False  # the client has stopped sending, and all bytes were read
+        self.has_backlog = False  # complete commands are left for later turns of the event loop
+        self.is_backlog_stale = False  # commands are rejected until the client's end can be seen
+        self._backlog_since: float | None = None  # when commands were first left in the kernel
+        self._is_throttled = False  # too much is pending or unread for a further command
         self._is_finished = False  # the sending side is shut down, or the close has begun
         self._delivered_at: float | None = None  # when the last reply was seen to be acknowledged
         self._is_parsing = False
 
         self.active_at = 0.0  # time of the connect, the last reply or a command's first byte
         self.last_byte_at = 0.0
+        self.write_progress_at = 0.0  # when the client last took a part of its unread replies
 
     def connectionMade(self) -> None:
         """Register the connection; the registry may close another connection for it."""
         super().connectionMade()
+        self.limit_reads(self.registry.read_bytes)
         self.number = self.host.connections.add(self)
         self.active_at = self.last_byte_at = self.clock.now()
         self.registry.connection_made(self)
@@ -100,6 +112,11 @@
             and self.parser.at_boundary
         )
 
+    @property
+    def holds_unread_replies(self) -> bool:
+        """Whether replies that the client has not read take memory here."""
+        return self._output_memory.held > 0
+
     @property
     def is_between_commands(self) -> bool:
         """Whether a complete command has arrived, and no part of another one since."""
@@ -109,7 +126,8 @@
 
     def rawDataReceived(self, data: bytes) -> None:
         """Store the received bytes; large values bypass the ring buffer."""
-        self.last_byte_at = self.clock.now()
+        if data:
+            self.last_byte_at = self.clock.now()
         if self.has_sent_command and self.parser.at_boundary:
             self.active_at = self.last_byte_at
         if self.parser.body_remaining and not len(self.input_buffer) and not self.is_closing:
@@ -124,168 +142,176 @@
 
     def _store_value_bytes(self, data: bytes) -> None:
         if self.value is None:
-            size = self.parser.body_remaining + len(data)
-            has_memory = self.host.value_budget.reserve(size)
-            self.value = ChunkedValue() if has_memory else REFUSED_VALUE
+            self.value = IncomingValue(self.host.value_budget)
+            self.active_at = self.clock.now()
+        value = self.value
+        before = value.received_bytes // VALUE_PROGRESS_BYTES
+        if not value.append(data):
+            self.registry.reclaim_value_memory(len(data))
+            if not value.append(data):
+                value.refuse()
+                value.append(data)
+        self.registry.unfinished_values[self] = self.registry.unfinished_values.pop(self, None)
+        if value.received_bytes // VALUE_PROGRESS_BYTES > before:
+            # A client that sends a large value slowly must not be taken for a silent one.
             self.active_at = self.clock.now()
-        if self.value is not REFUSED_VALUE:
-            before = self.value.length // VALUE_PROGRESS_BYTES
-            self.value.append(data)
-            if self.value.length // VALUE_PROGRESS_BYTES > before:
-                # A client that sends a large value slowly must not be taken for a silent one.
-                self.active_at = self.clock.now()
 
     def _release_value(self) -> None:
         """Release the memory of a large value that no RPC has taken over."""
-        if self.value is not None and self.value is not REFUSED_VALUE:
-            self.host.value_budget.release(self.value.length + self.parser.body_remaining)
-        self.value = None
+        self.registry.unfinished_values.pop(self, None)
+        if self.value is not None:
+            self.value.discard()
+            self.value = None
 
     def bytes_received(self) -> None:
-        """Run the complete commands, `COMMANDS_PER_TURN` at a time."""
+        """Run the complete commands, up to `COMMANDS_PER_TURN` of them."""
+        self.run_commands(COMMANDS_PER_TURN)
+
+    def run_commands(self, limit: int) -> int:
+        """Run up to `limit` complete commands, and return how many were run."""
         if self._is_parsing or self.is_lost:
-            return
+            return 0
         self._is_parsing = True
+        count = 0
         try:
-            age_ms = self.unread_age_ms()
-            # An RPC that was read too late would be forwarded for a client that has disconnected.
-            self.client_has_left = age_ms > STALE_READ_MS and self.peer_has_closed()
-            self._run_commands(age_ms)
+            age_ms = max(self.unread_age_ms(), self.clock.now() - self.last_byte_at)
+            self._check_whether_client_left(age_ms)
+            count = self._run_commands(limit, age_ms)
         except ProtocolError as error:
             self.host.counters.add("clients.malformed")
-            self._reply(b"-ERR %b\r\n" % str(error).encode())
+            self.add_reply(b"-ERR %b\r\n" % str(error).encode())
             self.is_closing = True
         finally:
             self._is_parsing = False
         self._stop_reading_if_draining()
         if self.is_closing:
             self.input_buffer.skip(len(self.input_buffer))
+            self._set_backlog(False)
+        self._input_memory.set(allocated_bytes(self.input_buffer))
         self._send_replies()
         self.update_eviction_order()
+        return count
 
-    def _run_commands(self, age_ms: float) -> None:
-        for _ in range(COMMANDS_PER_TURN):
-            if self.is_closing or self.paused:
-                return
+    def _check_whether_client_left(self, age_ms: float) -> None:
+        """Find out whether the RPCs read next would be forwarded for nobody.
+
+        The end of a client's connection shows only once all that it has sent before has reached
+        this machine. While more is unread than this connection buffers, a client that has left
+        looks like one that sends at full speed, so its RPCs are rejected until that is read.
+        """
+        backlog_ms = 0.0 if self._backlog_since is None else self.clock.now() - self._backlog_since
+        is_stale = max(age_ms, backlog_ms) > STALE_READ_MS
+        self.client_has_left = is_stale and self.peer_has_closed()
+        self.is_backlog_stale = backlog_ms > STALE_READ_MS and self.has_kernel_bytes()
+
+    def _run_commands(self, limit: int, age_ms: float) -> int:
+        for count in range(limit):
+            if self.is_closing or self._is_throttled:
+                return count
             words = self.parser.next_value()
             if words is NEED_DATA:
                 if self.parser.body_remaining and len(self.input_buffer):
                     self._store_value_bytes(self.parser.read_body(WRITE_CHUNK_BYTES))
                     continue
-                return
+                self._set_backlog(False)
+                return count
             if words:
                 self.has_sent_command = True
-                self._run_command(words, age_ms)
-                if len(self.pending_replies) >= MAX_PENDING_COMMANDS:
-                    self.host.counters.add("clients.paused")
-                    self.pauseProducing()
-        # The remaining commands run in the next turn: hundreds of pipelined commands handled in one
+                run_command(self, words, age_ms)
+                self._release_value()
+                self._throttle_if_too_many()
+        # The remaining commands run in later turns: hundreds of pipelined commands handled in one
         # turn would delay all deadlines.
-        self.clock.deadlines.add(self.clock.now(), lambda _: self.bytes_received())
-
-    def _run_command(self, words: list[bytes], age_ms: float) -> None:
-        words[0] = words[0].upper()
-        handle = HANDLERS.get(words[0], ClientConnection._handle_unknown)
-        handle(self, words, age_ms)
-        self._release_value()
-
-    def _handle_rpc(self, words: list[bytes], age_ms: float) -> None:
-        slot = ReplySlot()
-        self.pending_replies.append(slot)
-        if self.client_has_left or self.registry.fails_new_requests:
-            self.host.counters.add("rpcs.client_left")
-            slot.answer = FAILED
-            return
-        if self.is_over_limit:
-            self._reject_rpc(slot, words, "rpcs.no_room")
-            self.is_closing = True
-            return
-        if self.value is REFUSED_VALUE:
-            self._reject_rpc(slot, words, "rpcs.no_memory")
+        if not self._is_throttled:
+            self._set_backlog(True)
+        return limit
+
+    def _set_backlog(self, has_backlog: bool) -> None:
+        """Record whether commands are left for later; nothing more is read while there are any."""
+        if has_backlog:
+            self._begin_backlog()
+            self.registry.backlog.add(self)
+        elif self._backlog_since is not None and not self.has_kernel_bytes():
+            self._backlog_since = None
+        if has_backlog == self.has_backlog:
             return
-        rpc = None
-        if len(words) == RPC_WORD_COUNTS[words[0]]:
-            if self.value is not None:
-                words[4] = self.value
-            rpc = self.host.accept(self.clock.now(), self, slot, words, age_ms)
-            if rpc is not None:
-                self.value = None  # the RPC owns the value now
-        if slot.answer is not None:
-            return
-        if rpc is None:
-            self.host.counters.add("clients.wrong")
-            slot.answer = b"-ERR wrong number of words, unknown class or bad wait\r\n"
-        elif rpc.pending:
-            self.rpcs[slot] = rpc
-
-    def _reject_rpc(self, slot: ReplySlot, words: list[bytes], counter: str) -> None:
-        self.host.counters.add(counter)
-        self.host.record_rejected(words)
-        slot.answer = BUSY
-
-    def _handle_ping(self, words: list[bytes], _: float) -> None:
-        if self.registry.reports_draining:
-            self._reply(b"-ERR draining\r\n")
-        elif len(words) > 1:
-            self._reply(bulk(words[1]))
-        else:
-            self._reply(b"+PONG\r\n")
-
-    def _handle_info(self, _words: list[bytes], _: float) -> None:
-        self._reply(bulk(self.registry.info()))
-
-    def _handle_ignored(self, _words: list[bytes], _: float) -> None:
-        """Accept a command that client libraries send after connecting and that has no effect."""
-        self._reply(b"+OK\r\n")
-
-    def _handle_quit(self, _words: list[bytes], _: float) -> None:
-        self._reply(b"+OK\r\n")
-        self.is_closing = True
+        self.has_backlog = has_backlog
+        if not has_backlog:
+            self.registry.backlog.remove(self)
+        self._update_reading()
 
-    def _handle_unknown(self, _words: list[bytes], _: float) -> None:
-        self.host.counters.add("clients.wrong")
-        self._reply(b"-ERR unknown command\r\n")
+    def _begin_backlog(self) -> None:
+        if self._backlog_since is None:
+            self._backlog_since = self.clock.now()
 
     # ---- replies
 
-    def _reply(self, answer: bytes) -> None:
-        self.pending_replies.append(ReplySlot(answer))
+    def add_reply(self, answer: bytes) -> None:
+        """Add a command and the reply to it."""
+        self.set_answer(self.pending_replies.add(), answer)
+
+    def set_answer(self, slot: ReplySlot, answer: bytes) -> None:
+        """Set the reply to a command, which is sent once it is its turn."""
+        is_blocked = self.write_pending or (
+            len(answer) > self.host.reply_budget.available and self.has_undelivered_bytes()
+        )
+        if not self.pending_replies.answer(slot, answer, FAILED_REPLY, is_blocked):
+            self.host.counters.add("rpcs.reply_no_memory")
 
     def reply(self, slot: ReplySlot, answer: bytes) -> None:
         """Set the final response to the RPC of a slot."""
-        slot.answer = answer
         self.rpcs.pop(slot, None)
-        if self.streams.pop(slot, None) is not None:
+        if self.streams.pop(slot, None) is None:
+            self.set_answer(slot, answer)
+        else:
+            slot.answer = answer  # the rest of the stream
             self.registry.active_streams -= 1
-            self.current_stream = None  # `answer` holds the rest of the stream
+            self.current_stream = None
         if not self.is_lost:
             self._send_replies()
 
     def _send_replies(self) -> None:
         """Send the available replies, up to the first command that has no reply yet."""
-        while self.pending_replies and self.pending_replies[0].answer is not None:
-            self.send(self.pending_replies.popleft().answer)
+        while answers := self.pending_replies.take_ready():
+            self.send(answers)
             self.registry.mark_active(self)
         if self.pending_replies and self.current_stream is None:
-            stream = self.streams.get(self.pending_replies[0])
+            stream = self.streams.get(self.pending_replies.first)
             if stream is not None:
                 self._start_stream(stream)
-        if len(self.output_buffer) > MAX_UNREAD_REPLY_BYTES:
-            if not self.paused and not self.is_closing:
-                self.pauseProducing()
-            self.registry.limit_reply_memory()
+        self._account_output()
+        self._throttle_if_too_many()
         self._resume_reading()
         if not self.pending_replies:
             self.update_eviction_order()
         self._close_if_done()
 
+    def _account_output(self) -> None:
+        """Hold the memory of the replies that the client has not read."""
+        self._has_stream_memory = self._has_stream_memory and bool(self.streams)
+        count = allocated_bytes(self.output_buffer)
+        if self._has_stream_memory:
+            count = max(count, MIN_STREAM_MEMORY_BYTES)
+        if count != self._output_memory.held:
+            if not self._output_memory.held:
+                self.write_progress_at = self.clock.now()
+            self._output_memory.set(count)
+
     # ---- streamed responses
 
+    def reserve_stream_memory(self) -> bool:
+        """Reserve memory for a streamed response; return False if there is none."""
+        if self._has_stream_memory:
+            return True
+        count = max(self._output_memory.held, MIN_STREAM_MEMORY_BYTES)
+        self._has_stream_memory = self._output_memory.try_set(count)
+        return self._has_stream_memory
+
     def stream_started(self, slot: ReplySlot, stream: Stream) -> None:
         """Register a stream: the response to the RPC of a slot has begun to arrive in chunks."""
         self.streams[slot] = stream
         self.registry.active_streams += 1
-        if self.is_lost or self.pending_replies[0] is not slot:
+        if self.is_lost or self.pending_replies.first is not slot:
             stream.source.pause()  # replies to earlier commands are sent first
         else:
             self._start_stream(stream)
@@ -298,6 +324,7 @@
     def stream_chunk(self, slot: ReplySlot, data: bytes) -> None:
         """Send the next chunk of the current stream."""
         self.send(data)
+        self._account_output()
         # Without the pause, a backend that is faster than the client would fill this buffer with
         # the whole value.
         buffered = len(self.output_buffer)
@@ -306,7 +333,12 @@
 
     def resume_writing(self) -> None:
         """Write more output, and resume a paused stream once enough of it has been read."""
+        unsent_bytes = len(self.output_buffer)
         super().resume_writing()
+        self._account_output()
+        if len(self.output_buffer) >= unsent_bytes:
+            return
+        self.write_progress_at = self.clock.now()
         if self.current_stream is not None:
             self.current_stream.last_progress = self.clock.now()
             if 2 * len(self.output_buffer) <= self.registry.stream_buffer_bytes:
@@ -319,7 +351,7 @@
         if stream is not None:
             self.registry.active_streams -= 1
         if self.current_stream is not stream:
-            slot.answer = FAILED  # no chunk of this stream was sent
+            self.set_answer(slot, FAILED_REPLY)  # no chunk of this stream was sent
         else:
             # No error can be sent: the client would read it as part of the value.
             self.current_stream = None
@@ -330,15 +362,50 @@
 
     # ---- back-pressure and draining
 
+    def _throttle_if_too_many(self) -> None:
+        """Run no further command while too many wait for replies, or too much is unread."""
+        if self._is_throttled or self.is_closing:
+            return
+        pending = len(self.pending_replies)
+        unread_bytes = len(self.output_buffer)
+        if pending >= self._max_pending_commands or unread_bytes > self._max_unread_bytes:
+            self.host.counters.add("clients.paused")
+            self._is_throttled = True
+            self._begin_backlog()
+            self.has_backlog = False
+            self.registry.backlog.remove(self)
+            self._update_reading()
+
+    @property
+    def _max_pending_commands(self) -> int:
+        return MAX_PENDING_COMMANDS if self.host.rpcs.has_room else MAX_PENDING_WITHOUT_MEMORY
+
+    @property
+    def _max_unread_bytes(self) -> int:
+        if self.registry.is_reply_memory_short:
+            return MAX_UNREAD_WITHOUT_MEMORY_BYTES
+        return MAX_UNREAD_REPLY_BYTES
+
     def _resume_reading(self) -> None:
         has_eased = (
-            2 * len(self.output_buffer) <= MAX_UNREAD_REPLY_BYTES
-            and 2 * len(self.pending_replies) <= MAX_PENDING_COMMANDS
+            2 * len(self.output_buffer) <= self._max_unread_bytes
+            and 2 * len(self.pending_replies) <= self._max_pending_commands
         )
-        if self.paused and has_eased and not self.is_closing and not self.is_lost:
-            self.resumeProducing()
+        if self._is_throttled and has_eased and not self.is_closing and not self.is_lost:
+            self._is_throttled = False
+            self._update_reading()
             self.bytes_received()  # commands that were buffered before the pause
 
+    def _update_reading(self) -> None:
+        """Read from the socket while commands are neither throttled nor left for later."""
+        if self.is_lost or self.is_closing:
+            return
+        is_paused = self._is_throttled or self.has_backlog
+        if is_paused and not self.paused:
+            self.pauseProducing()
+        elif not is_paused and self.paused:
+            self.resumeProducing()
+
     def update_eviction_order(self) -> None:
         """Move to the end of the registry's queue of eviction candidates, or leave that queue."""
         self.registry.remove_eviction_candidate(self)
@@ -462,7 +529,7 @@
         with suppress(ProtocolError):
             # Commands that have not started fail, as nothing more is sent to backends.
             while not self.is_closing and self.parser.next_value() is not NEED_DATA:
-                self._reply(FAILED)
+                self.add_reply(FAILED_REPLY)
         self.is_closing = True
         self._send_replies()
 
@@ -472,6 +539,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Release the connection's resources, and let the host drop its RPCs."""
         self.is_lost = True
+        self.registry.backlog.remove(self)
         self._release_value()
         self.host.connections.free(self.number)
         self.registry.connection_lost(self)
@@ -482,17 +550,6 @@
         self.host.client_disconnected(self.clock.now(), list(self.rpcs.values()), still_reads=False)
         self.rpcs.clear()
         self.release_buffers()
+        self._input_memory.set(0)
+        self._output_memory.set(0)
         self.registry.check_all_closed()
-
-
-Handler = Callable[[ClientConnection, list[bytes], float], None]
-
-HANDLERS: dict[bytes, Handler] = {
-    b"OBJ.GET": ClientConnection._handle_rpc,
-    b"OBJ.SET": ClientConnection._handle_rpc,
-    b"PING": ClientConnection._handle_ping,
-    b"INFO": ClientConnection._handle_info,
-    b"CLIENT": ClientConnection._handle_ignored,
-    b"SELECT": ClientConnection._handle_ignored,
-    b"QUIT": ClientConnection._handle_quit,
-}
--- a/hookpitch/net/client_registry.py
+++ b/hookpitch/net/client_registry.py
@@ -18,6 +18,7 @@
 
 from hookpitch.core.host import Host
 from hookpitch.core.stream import MAX_UNSENT_BYTES, MIN_UNSENT_BYTES
+from hookpitch.net.backlog import Backlog
 from hookpitch.net.client_connection import LINGER_MS, ClientConnection
 from hookpitch.net.clock import Clock
 
@@ -28,6 +29,8 @@
 OVER_LIMIT_MS = 100.0  # time for a connection over the limit to send a command and be answered
 LAST_REPLY_MS = 5000.0  # timeout for the client of a closing connection to read its replies
 MIN_SILENCE_MS = 250.0  # silence after which a connection without a complete command is evictable
+# While less of the memory of unread replies is available, clients that read nothing are cut off.
+MIN_AVAILABLE_FRACTION = 0.25
 EVICTION_CANDIDATES = 16  # connections examined in search of one to evict
 
 
@@ -49,20 +52,23 @@
         host: Host,
         clock: Clock,
         idle_eviction_threshold: int,
-        max_reply_bytes: int,
         max_connections: int,
         max_over_limit: int,
+        read_bytes: int,
     ) -> None:
-        """Create a registry; `max_reply_bytes` limits the memory of all unread replies."""
+        """Create a registry; `read_bytes` are read from a connection at a time."""
         self.host = host
         self.clock = clock
         self.idle_eviction_threshold = idle_eviction_threshold
-        self.max_reply_bytes = max_reply_bytes
         self.max_connections = max_connections
         self.max_over_limit = max_over_limit
+        self.read_bytes = read_bytes
+        self.backlog = Backlog(clock)
         self.connections: dict[ClientConnection, None] = {}  # the latest reply at the end
         self.idle: dict[ClientConnection, None] = {}  # connections between two commands
         self.incomplete: dict[ClientConnection, None] = {}  # connections without a complete command
+        # Connections that have sent a part of a large value, the longest without progress first.
+        self.unfinished_values: dict[ClientConnection, None] = {}
         self.active_streams = 0  # responses that are being streamed
         self.is_draining = False  # idle connections are closed
         self.reports_draining = False  # PING is answered with an error
@@ -76,8 +82,17 @@
 
     def info(self) -> bytes:
         """Return the reply to INFO: gauges and counters, one per line."""
-        gauges = f"clients.open:{len(self.connections)}\r\nrpcs.open:{len(self.host.rpcs)}\r\n"
-        return (gauges + self.host.counters.render()).encode()
+        host = self.host
+        gauges = {
+            "clients.open": len(self.connections),
+            "rpcs.open": len(host.rpcs),
+            "memory.limit": host.memory.limit,
+            "memory.used": host.memory.used,
+            "memory.values": host.value_budget.used,
+            "memory.replies": host.reply_budget.used,
+        }
+        lines = "".join(f"{name}:{value}\r\n" for name, value in gauges.items())
+        return (lines + host.counters.render()).encode()
 
     # ---- the set of connections
 
@@ -169,18 +184,30 @@
     @property
     def stream_buffer_bytes(self) -> int:
         """The limit of unread bytes per streamed response, which falls as streams are added."""
-        bytes_per_stream = self.max_reply_bytes // (4 * max(1, self.active_streams))
+        bytes_per_stream = self.host.reply_budget.limit // (4 * max(1, self.active_streams))
         return max(MIN_UNSENT_BYTES, min(MAX_UNSENT_BYTES, bytes_per_stream))
 
-    def limit_reply_memory(self) -> None:
-        """Abort the connection with the most unread replies, once their total exceeds the limit.
+    @property
+    def is_reply_memory_short(self) -> bool:
+        """Whether little memory is left for replies that clients have not read."""
+        budget = self.host.reply_budget
+        return budget.available < MIN_AVAILABLE_FRACTION * budget.limit
+
+    def reclaim_value_memory(self, count: int) -> None:
+        """Drop the unfinished values of clients that have fallen silent, until there is memory.
 
-        Clients that send commands and never read replies could otherwise exhaust the node's memory.
+        Clients that stop in the middle of a large write could otherwise hold the memory that the
+        writes of all others need. Such a client is answered that it was rejected, should it go on.
         """
-        if sum(client.output_buffer.capacity for client in self.connections) > self.max_reply_bytes:
-            largest = max(self.connections, key=lambda client: client.output_buffer.capacity)
-            self.host.counters.add("clients.cut_off")
-            largest.transport.abortConnection()
+        budget = self.host.value_budget
+        silent_since = self.clock.now() - MIN_SILENCE_MS
+        for client in list(self.unfinished_values):
+            if budget.available >= count or client.last_byte_at > silent_since:
+                return
+            del self.unfinished_values[client]
+            if client.value is not None:
+                self.host.counters.add("clients.value_dropped")
+                client.value.refuse()
 
     def sweep(self, now: float) -> None:
         """Close connections that have been silent too long, and schedule the next sweep."""
@@ -194,12 +221,20 @@
             if is_unread and client.active_at < now - LAST_REPLY_MS:
                 # A regular close would wait for a client that does not read.
                 client.transport.abortConnection()
+            if self._holds_memory_for_nothing(client, now):
+                self.host.counters.add("clients.cut_off")
+                client.transport.abortConnection()
             reason = self._sweep_reason(client, now, count)
             if reason is not None:
                 self.close(client, reason)
             if reason is CloseReason.IDLE:
                 count -= 1
 
+    def _holds_memory_for_nothing(self, client: ClientConnection, now: float) -> bool:
+        """Return whether a client reads nothing while the memory of unread replies is short."""
+        is_stalled = client.write_progress_at < now - LAST_REPLY_MS
+        return client.holds_unread_replies and is_stalled and self.is_reply_memory_short
+
     def _sweep_reason(self, client: ClientConnection, now: float, count: int) -> CloseReason | None:
         """Return why a connection is to be closed while `count` are open, or None."""
         is_busy = client.pending_replies or len(client.output_buffer)
--- a/hookpitch/net/hot_restart.py
+++ b/hookpitch/net/hot_restart.py
@@ -49,7 +49,7 @@
 
     backend_connections: int
     client_connections: int
-    value_bytes: int
+    traffic_bytes: int
 
 
 class HotRestart:
@@ -130,7 +130,7 @@
             capacity.client_connections // process_count,
             min(capacity.client_connections, len(node.clients.connections)),
         )
-        node.host.value_budget.limit = capacity.value_bytes // process_count
+        node.host.limit_memory(capacity.traffic_bytes // process_count)
 
     def _log_damage(self, reason: str) -> None:
         self._node.logger.info("shared_state_damaged", reason=reason)
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -52,10 +52,11 @@
         self.config = config
         self.logger = logger
         descriptors = DescriptorBudget.from_config(config)
-        memory = MemoryBudgets.from_config(config)
+        memory = MemoryBudgets.from_config(config, descriptors.clients)
         self.host = Host(clock.now(), config.deployment, clock.deadlines, counters, logger)
-        self.host.value_budget.limit = memory.value_bytes
+        self.host.limit_memory(memory.traffic_bytes)
         self.pools = BackendPools(reactor, clock, self.host, descriptors.backends, OriginConnection)
+        self.pools.read_bytes = memory.read_bytes
         self.clients = _create_clients(self.host, clock, descriptors, memory)
         self.loop_monitor = LoopMonitor(clock, self.host, cpu_time)
         self.discovery = _create_discovery(reactor, clock, self.host, config, memory)
@@ -63,7 +64,7 @@
         self.commands = OperatorCommands(self)
         self.admin_server = AdminServer(clock, self.commands, counters.add)
         self.startup_monitor = StartupMonitor(clock, self.host, self.discovery, logger)
-        capacity = ProcessCapacity(descriptors.backends, descriptors.clients, memory.value_bytes)
+        capacity = ProcessCapacity(descriptors.backends, memory.clients, memory.traffic_bytes)
         self.hot_restart = HotRestart(self, capacity)
         self.lifecycle = Lifecycle(self)
         self.membership: Membership | None = None
@@ -101,10 +102,10 @@
     return ClientRegistry(
         host,
         clock,
-        descriptors.idle_clients,
-        memory.unread_response_bytes,
-        descriptors.clients,
+        min(descriptors.idle_clients, memory.clients),
+        memory.clients,
         descriptors.rejected_clients,
+        memory.read_bytes,
     )
 
 
--- a/hookpitch/net/origin.py
+++ b/hookpitch/net/origin.py
@@ -154,6 +154,7 @@
             self._forward_stored_reply(load, reuse)
             return
         value = self.body.to_bytes() if self.status == 200 else None
+        self.body.discard()
         self.finish(self._outcome(), value, load, reuse)
 
     def _outcome(self) -> Outcome:
--- a/hookpitch/net/resource_budget.py
+++ b/hookpitch/net/resource_budget.py
@@ -13,6 +13,13 @@
 ADMIN_DESCRIPTORS = MAX_WAITING_CONNECTIONS + MAX_CLOSING_CONNECTIONS + 4
 MIN_REJECTED_CLIENTS = 4
 
+PROCESS_BYTES = 29 << 20  # of a process without connections, once its tables are full
+CONNECTION_BYTES = 4096  # of an open connection that is idle
+MIN_SPARE_BYTES = 3 << 20
+MAX_CONNECTIONS_FRACTION = 2 / 3  # of the spare memory
+MIN_READ_BYTES = 4096
+MAX_READ_BYTES = 16384
+
 
 @dataclass(frozen=True, slots=True)
 class DescriptorBudget:
@@ -46,18 +53,29 @@
 
 @dataclass(frozen=True, slots=True)
 class MemoryBudgets:
-    """The limits of memory by use, in bytes."""
+    """The limits of memory by use, in bytes.
+
+    Their sum, with the process at rest, stays under the node's limit: what is left once the process
+    and its connections are paid for is halved, because Python's allocator and the copies made on
+    the way take as much again.
+    """
 
-    unread_response_bytes: int  # responses that clients have not read
-    value_bytes: int  # values of requests in flight
+    traffic_bytes: int  # all requests and responses in flight
+    clients: int  # connections of clients that there is memory for
+    read_bytes: int  # read from one connection at a time
     endpoint_list_bytes: int  # one endpoint list or change from discovery
 
     @classmethod
-    def from_config(cls, config: NodeConfig) -> MemoryBudgets:
-        """Return a half, a quarter and a thirty-second of the node's memory."""
+    def from_config(cls, config: NodeConfig, max_clients: int) -> MemoryBudgets:
+        """Return the budgets of a node whose descriptors allow `max_clients` connections."""
         memory_bytes = config.memory_mb << 20
+        spare_bytes = max(MIN_SPARE_BYTES, memory_bytes - PROCESS_BYTES)
+        clients = min(max_clients, int(MAX_CONNECTIONS_FRACTION * spare_bytes) // CONNECTION_BYTES)
+        traffic_bytes = (spare_bytes - clients * CONNECTION_BYTES) // 2
+        read_bytes = traffic_bytes // (2 * max_clients)
         return cls(
-            unread_response_bytes=memory_bytes // 2,
-            value_bytes=memory_bytes // 4,
+            traffic_bytes=traffic_bytes,
+            clients=clients,
+            read_bytes=max(MIN_READ_BYTES, min(MAX_READ_BYTES, read_bytes)),
             endpoint_list_bytes=memory_bytes // 32,
         )
--- a/hookpitch/net/stored_reply.py
+++ b/hookpitch/net/stored_reply.py
@@ -11,8 +11,14 @@
 from hookpitch.core.collected_body import CollectedBody
 from hookpitch.core.host import Host
 from hookpitch.core.rpc import Attempt
+from hookpitch.core.streamed_replies import StreamStart
 from hookpitch.net.clock import Clock
 
+OUTCOMES_WITHOUT_STREAM = {
+    StreamStart.NOT_NEEDED: Outcome.CANCELLED,
+    StreamStart.NO_MEMORY: Outcome.NO_MEMORY,
+}
+
 
 class StoredReply:
     """The complete reply to one attempt (core.stream.Source)."""
@@ -33,9 +39,10 @@
         now = self._clock.now()
         self._attempt.carrier = self
         self._schedule()
-        if not self._host.stream_started(now, self._attempt, len(self._body), self):
+        start = self._host.stream_started(now, self._attempt, len(self._body), self)
+        if start is not StreamStart.STARTED:
             self._body.discard()
-            self._host.attempt_finished(now, self._attempt, Outcome.CANCELLED)
+            self._host.attempt_finished(now, self._attempt, OUTCOMES_WITHOUT_STREAM[start])
 
     def pause(self) -> None:
         """Stop forwarding until `resume` is called."""
