--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -97,6 +97,17 @@
     assert client.is_closed and server.is_closed and node.counters.counts["streams.silent"] == 1
 
 
+def test_an_answer_that_its_server_writes_with_pauses_is_not_cut_off() -> None:
+    # The pauses are longer than the longest deadline of the deployment, which is 1 s.
+    node, client, server = send_rpc()
+    send_head(server)
+    for at in range(0, LARGE, LARGE // 3):
+        server.send(VALUE[at : at + LARGE // 3])
+        node.pass_time(2200)
+    server.send(b"\r\n" + REST)
+    assert client.receive() == bulk(VALUE) and not client.is_closed
+
+
 def test_a_slow_reader_pauses_the_backend_and_one_that_stops_is_dropped() -> None:
     node, client, server = send_rpc()
     client.is_reading = False
