--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -43,6 +43,8 @@
 DEFAULT_MEMORY_BYTES = 1 << 26
 # No single use may take all of the memory, so that the others go on.
 MAX_FRACTION_OF_ONE_USE = 0.5
+# A server that writes a long answer slowly may pause for longer than a deployment's deadlines.
+MIN_STREAM_TIMEOUT_MS = 3000.0
 MAX_LOGGED_PER_KIND = 3  # log lines per kind of malformed input; every occurrence is counted
 MAX_LOGGED_TEXT = 200  # characters of the malformed input in a log line
 
@@ -79,7 +81,7 @@
         self.value_budget = MemoryBudget(0, self.memory)  # large values of requests, and bodies
         self.reply_budget = MemoryBudget(0, self.memory)  # responses that clients have not read
         self.limit_memory(DEFAULT_MEMORY_BYTES)
-        self.stream_timeout_ms = hard_ms
+        self.longest_deadline_ms = hard_ms  # of all RPCs that may be in flight
         self.connections: SlotTable[object] = SlotTable()
         self.rpcs = RpcTable(deadlines, counters, self.rpc_budget, self.value_budget)
         self.timers = RpcTimers(self)
@@ -96,6 +98,11 @@
         """Carry out the router's decisions until there are none; a nested call does nothing."""
         self._decisions.run(now)
 
+    @property
+    def stream_timeout_ms(self) -> float:
+        """How long a streamed reply may make no progress."""
+        return max(MIN_STREAM_TIMEOUT_MS, self.longest_deadline_ms)
+
     # ---- clients
 
     def accept(
@@ -290,9 +297,9 @@
         methods = deployment.methods
         self.deployment = deployment
         self.methods = _methods_by_name(deployment)
-        # Streams in flight started under the old settings, perhaps with longer deadlines.
-        self.stream_timeout_ms = max(
-            self.stream_timeout_ms, *(method.hard_ms for method in methods)
+        # RPCs in flight were accepted under the old settings, perhaps with longer deadlines.
+        self.longest_deadline_ms = max(
+            self.longest_deadline_ms, *(method.hard_ms for method in methods)
         )
         self.admission.set_soft_deadline(min(method.soft_ms for method in methods))
         self.router.reconfigured(now, deployment)
--- a/hookpitch/net/lifecycle.py
+++ b/hookpitch/net/lifecycle.py
@@ -176,7 +176,7 @@
         if node.membership is not None:
             node.membership.leave()
         # This timeout also covers RPCs that were accepted under earlier settings.
-        longest_rpc_ms = node.host.stream_timeout_ms
+        longest_rpc_ms = node.host.longest_deadline_ms
         delay_ms = SHUTDOWN_DELAY_MS if node.config.inherited_descriptor is None else 0.0
         stop_listening_at = node.clock.now() + delay_ms
         # The last connection to be closed may send one more RPC just before, which may take until
--- a/hookpitch/testbed/nodes.py
+++ b/hookpitch/testbed/nodes.py
@@ -194,7 +194,7 @@
         )
         old.shut_down()
         run.network.call_at(
-            run.network.now + old.host.stream_timeout_ms / 1000 + TERMINATION_GRACE_S,
+            run.network.now + old.host.longest_deadline_ms / 1000 + TERMINATION_GRACE_S,
             None,
             finish_upgrade,
         )
