Close connections to a server's previous process once they are free

Cause: BackendPool.stop closes idle connections and abandons connects, but busy ones came back to the pool (with cancelling off, or where the attempt is not cancelled). Change: a pool counts the processes of its server; a connection of an earlier count is closed when it is free.

--- a/hookpitch/net/backend_connection.py
+++ b/hookpitch/net/backend_connection.py
@@ -44,6 +44,7 @@
         self.number = -1  # the connection's slot in the host's connection table
         self.attempt: Attempt | None = None
         self._input_memory = MemoryUse(self.host.reply_budget)
+        self.pool_generation = pool.generation
         self.idle_since = 0.0
         self.is_lost = False
 
--- a/hookpitch/net/backend_pool.py
+++ b/hookpitch/net/backend_pool.py
@@ -66,6 +66,7 @@
         self.connects: dict[_Connect, None] = {}
         self.expiry: Deadline | None = None
         self.backend_started_ms = 0.0  # when the backend's process started, in Unix ms
+        self.generation = 0  # counts the processes of the backend that connections may lead to
         self.is_retired = False  # backend moved, draining or removed: no idle connection is kept
 
     # ---- attempts
@@ -163,7 +164,9 @@
         """Give a free connection to a waiting attempt, or keep the connection as idle."""
         if connection.is_lost:
             return
-        if self.waiting:  # a waiting attempt need not wait for its own connect
+        if connection.pool_generation != self.generation:
+            connection.transport.loseConnection()  # it leads to the process before a restart
+        elif self.waiting:  # a waiting attempt need not wait for its own connect
             if self._is_clean(connection):
                 self._begin_first(connection)
             # Where this connection was aborted for its unread bytes, one waiting attempt has no
@@ -211,6 +214,11 @@
         for connection in list(self.idle):
             self.close(connection)
 
+    def backend_restarted(self) -> None:
+        """Use no connection any more that leads to the backend's previous process."""
+        self.generation += 1
+        self.stop()
+
     def stop(self) -> None:
         """Stop sending to the backend: return waiting attempts to the host, end unused connections.
 
--- a/hookpitch/net/backend_pools.py
+++ b/hookpitch/net/backend_pools.py
@@ -137,7 +137,7 @@
         elif pool.backend_started_ms != endpoint.started_ms:
             # The connections lead to the previous process of the backend. If its machine has
             # vanished, they never get a response.
-            pool.stop()
+            pool.backend_restarted()
         self.by_backend[endpoint.id].backend_started_ms = endpoint.started_ms
         self.by_backend[endpoint.id].is_retired = False
 
