Send nothing for a server whose address belongs to one that started later

Cause: pools are kept by id, so the node sent the old one's keys, at the rate of a warm server, to the new process. Change: of the ready servers at one address only those that started last count; the others count as removed (draining where removal is advisory) until they are listed elsewhere.

--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -14,12 +14,14 @@
 from hookpitch.balancer.interface import (
     Deployment,
     Endpoint,
+    EndpointState,
     EndpointUpdate,
     Method,
     Outcome,
     Report,
 )
 from hookpitch.balancer.router import Router
+from hookpitch.core.address_owners import AddressOwners
 from hookpitch.core.admission import Admission
 from hookpitch.core.counter_names import OUTCOME_COUNTERS, UPDATE_COUNTERS, FinalResult
 from hookpitch.core.counters import Counters
@@ -85,6 +87,7 @@
         self.connections: SlotTable[object] = SlotTable()
         self.rpcs = RpcTable(deadlines, counters, self.rpc_budget, self.value_budget)
         self.timers = RpcTimers(self)
+        self._address_owners = AddressOwners()
         self._streams = StreamedReplies(self)
         self._decisions = DecisionRunner(self)
 
@@ -284,6 +287,12 @@
         self.counters.add(UPDATE_COUNTERS[kind])
         if kind == EndpointUpdate.FAILED:
             return
+        # Where a removal alone is not binding, a server that was replaced would still be tried.
+        is_advisory = self.deployment.removal_is_advisory
+        replaced_state = EndpointState.DRAINING if is_advisory else EndpointState.REMOVED
+        endpoints, addresses = self._address_owners.apply(
+            kind, endpoints, addresses, replaced_state
+        )
         # The transport ends attempts. The router must have the new list before it acts on that.
         with self._decisions.deferred():
             self.transport.update_endpoints(kind, endpoints, addresses)
