Do not run an RPC again whose id comes a second time, here or at the other process

Cause: an id was known only while its RPC was open, and to one process. Times are of the monotonic clock, which both read alike. An RPC that cannot have run gives its id back. Counter rpcs.repeated_id. Ruled out: the file of operators' commands, which is read only five times a second.

--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -9,9 +9,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+import time
+from collections.abc import Callable, Mapping, Sequence
 
 from hookpitch.balancer.interface import (
+    NOT_EXECUTED,
     Deployment,
     Endpoint,
     EndpointState,
@@ -27,14 +29,16 @@
 from hookpitch.core.counters import Counters
 from hookpitch.core.deadlines import Deadlines
 from hookpitch.core.decision_runner import DecisionRunner
+from hookpitch.core.id_table import IdTable
 from hookpitch.core.interfaces import Client, Logger, Transport
 from hookpitch.core.memory_budget import MemoryBudget
+from hookpitch.core.repeated_ids import RepeatedIds
 from hookpitch.core.reply_slot import ReplySlot
 from hookpitch.core.request_parser import is_forwardable, parse_extras
 from hookpitch.core.resp import bulk
 from hookpitch.core.router_view import count_endpoints, is_bannable
 from hookpitch.core.rpc import Attempt, Rpc
-from hookpitch.core.rpc_table import RpcTable
+from hookpitch.core.rpc_table import FAILED_REPLY, RpcTable
 from hookpitch.core.rpc_timers import RpcTimers
 from hookpitch.core.slot_table import SlotTable
 from hookpitch.core.stream import Source
@@ -65,6 +69,7 @@
         deadlines: Deadlines,
         counters: Counters,
         logger: Logger,
+        monotonic: Callable[[], float] = time.monotonic,
     ) -> None:
         methods = deployment.methods
         soft_ms = min((method.soft_ms for method in methods), default=DEFAULT_DEADLINE_MS)
@@ -86,7 +91,9 @@
         self.longest_deadline_ms = hard_ms  # of all RPCs that may be in flight
         self.connections: SlotTable[object] = SlotTable()
         self.rpcs = RpcTable(deadlines, counters, self.rpc_budget, self.value_budget)
+        self.rpcs.on_removed = lambda rpc: self.repeated_ids.ended(rpc)
         self.timers = RpcTimers(self)
+        self.repeated_ids = RepeatedIds(self, IdTable(monotonic))
         self._address_owners = AddressOwners()
         self._streams = StreamedReplies(self)
         self._decisions = DecisionRunner(self)
@@ -128,6 +135,10 @@
         timeout_ms = fields.timeout_within(method.hard_ms)
         if not timeout_ms > 0:
             return None
+        if self.repeated_ids.is_repeated(words[2], method):
+            self.counters.add("rpcs.repeated_id")
+            slot.answer = FAILED_REPLY
+            return None
         if not self.rpcs.has_room:
             self.counters.add("rpcs.no_memory")
             self._count_rejected(method)
@@ -141,6 +152,9 @@
         rpc = Rpc(client, slot, words, method.name)
         rpc.accepted_at = now
         rpc.hard_deadline = now + timeout_ms - age_ms
+        if not self.repeated_ids.accept(rpc, method):
+            self._shed(slot, method, self.router.load_shedder.retry_after_ms(method))
+            return None
         self.rpcs.add(rpc)
         self.router.rpc_arrived(
             now,
@@ -247,6 +261,7 @@
         rpc = attempt.rpc
         attempt.done = True
         rpc.in_flight -= 1
+        rpc.may_have_run |= attempt.written and outcome not in NOT_EXECUTED
         self.counters.add(OUTCOME_COUNTERS[outcome])
         streamed = rpc.stream is not None and attempt is rpc.streaming_attempt
         if rpc.pending:
--- a/hookpitch/core/rpc.py
+++ b/hookpitch/core/rpc.py
@@ -88,6 +88,8 @@
         "in_flight",
         "pending",
         "client_half_closed",
+        "has_kept_id",
+        "may_have_run",
         "stream",
         "streaming_attempt",
     )
@@ -109,5 +111,7 @@
         self.in_flight = 0  # number of attempts that are not done
         self.pending = True  # not answered yet
         self.client_half_closed = False  # the client sends no more, and may have disconnected
+        self.has_kept_id = False  # no other RPC with this id is accepted
+        self.may_have_run = False  # some attempt may have been executed
         self.stream: Stream | None = None  # the reply, once it is being streamed
         self.streaming_attempt: Attempt | None = None  # the attempt whose reply is streamed
--- a/hookpitch/core/rpc_table.py
+++ b/hookpitch/core/rpc_table.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from hookpitch.core.counter_names import FinalResult
 from hookpitch.core.counters import Counters
 from hookpitch.core.deadlines import Deadlines
@@ -34,6 +36,7 @@
         self._rpc_budget = rpc_budget
         self._value_budget = value_budget
         self._slots: SlotTable[Rpc] = SlotTable()
+        self.on_removed: Callable[[Rpc], None] | None = None
         self.ids: set[bytes] = set()
         self.pending = 0
 
@@ -91,6 +94,8 @@
         if self._slots.get(rpc.number) is None:
             return
         self._slots.free(rpc.number)
+        if self.on_removed is not None:
+            self.on_removed(rpc)
         self._rpc_budget.release(RPC_BYTES)
         if isinstance(rpc.value, ChunkedValue):
             self._value_budget.release(len(rpc.value))
--- a/hookpitch/net/clock.py
+++ b/hookpitch/net/clock.py
@@ -23,7 +23,7 @@
     ) -> None:
         """Create a clock; `monotonic` and `unix` return seconds."""
         self._reactor = reactor
-        self._monotonic = monotonic
+        self.monotonic = monotonic  # seconds, alike in all processes of the machine
         self._offset_s = unix() - monotonic()
         self._timer: Any = None
         self.deadlines = Deadlines(self._arm)
@@ -34,7 +34,7 @@
 
     def now(self) -> float:
         """Return the Unix time in milliseconds."""
-        return (self._monotonic() + self._offset_s) * 1000
+        return (self.monotonic() + self._offset_s) * 1000
 
     def _arm(self, at: float) -> None:
         delay_s = max(0.0, at - self.now()) / 1000
--- a/hookpitch/net/hot_restart.py
+++ b/hookpitch/net/hot_restart.py
@@ -12,6 +12,7 @@
 from typing import Any, Protocol
 
 from hookpitch.core.host import Host
+from hookpitch.core.id_table import IdTable
 from hookpitch.net.backend_pools import BackendPools
 from hookpitch.net.client_registry import ClientRegistry
 from hookpitch.net.clock import Clock
@@ -74,6 +75,7 @@
             # The node serves without a shared file, but bans end with this process.
             node.logger.info("hot_restart_unavailable", reason=str(error))
             return
+        node.host.repeated_ids.table = IdTable(node.clock.monotonic, self.shared_state.map_ids())
         if not self.shared_state.other_processes:
             # A drain ends with the processes that were drained; bans outlast them.
             self.shared_state.append(Command(Verb.RESUME))
--- a/hookpitch/net/node.py
+++ b/hookpitch/net/node.py
@@ -53,7 +53,9 @@
         self.logger = logger
         descriptors = DescriptorBudget.from_config(config)
         memory = MemoryBudgets.from_config(config, descriptors.clients)
-        self.host = Host(clock.now(), config.deployment, clock.deadlines, counters, logger)
+        self.host = Host(
+            clock.now(), config.deployment, clock.deadlines, counters, logger, clock.monotonic
+        )
         self.host.limit_memory(memory.traffic_bytes)
         self.pools = BackendPools(reactor, clock, self.host, descriptors.backends, OriginConnection)
         self.pools.read_bytes = memory.read_bytes
--- a/hookpitch/net/shared_state.py
+++ b/hookpitch/net/shared_state.py
@@ -15,6 +15,7 @@
 
 import contextlib
 import fcntl
+import mmap
 import os
 from collections.abc import Callable, Iterator
 from enum import StrEnum
@@ -23,6 +24,8 @@
 from urllib.parse import quote, unquote
 from zlib import crc32
 
+from hookpitch.core.id_table import TABLE_BYTES
+
 VERSION = "1"
 NO_TARGET = "-"
 COMPACT_BYTES = 1 << 16  # above this size the file is rewritten, if no other process reads it
@@ -155,6 +158,19 @@
             os.write(self._file, data)
             self._read_bytes = len(data)
 
+    def map_ids(self) -> mmap.mmap | None:
+        """Return the ids that the processes share (`core/id_table.py`); None where that fails."""
+        try:
+            descriptor = _open(f"{self._stem}.ids", os.O_RDWR | os.O_CREAT)
+            try:
+                os.posix_fallocate(descriptor, 0, TABLE_BYTES)
+                return mmap.mmap(descriptor, TABLE_BYTES)
+            finally:
+                os.close(descriptor)
+        except OSError as error:
+            self._report_damage(str(error))
+            return None
+
     def find_other_processes(self) -> list[str]:
         """Return the ids of the node's other running processes; remove lock files of ended ones."""
         self.other_processes = []
--- a/tests/socket_node.py
+++ b/tests/socket_node.py
@@ -78,7 +78,9 @@
     the node reads as its own.
     """
 
-    def __init__(self, caches: int = 2, shared: str = "", **limits: int) -> None:
+    def __init__(
+        self, caches: int = 2, shared: str = "", process_id: str = "", **limits: int
+    ) -> None:
         """Start a node; `limits` may hold `sockets` (file descriptors) and `memory_mb`."""
         self.network = MemoryNetwork()
         self.hosts = [listed_host(f"s{i}", 7000 + i) for i in range(caches)]
@@ -100,6 +102,7 @@
             ("127.0.0.1", 15000),
             None,
             shared,
+            process_id,
         )
         self.counters = Counters()
         self.logged_events: list[str] = []
