Start no attempt that waited for a connection once its client has left

Cause: the end of a client is checked when the router sends, not when the connect completes. Change: the pool asks the client's socket before it starts a waiting attempt. Measured: the test fails before (the request was written), passes now.

--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -223,6 +223,21 @@
             self._cancel_attempts(now, rpc)
         self.rpcs.release(rpc)
 
+    def drop_for_nobody(self, now: float, attempt: Attempt) -> bool:
+        """End an attempt that is not sent yet if its client has left; return whether it has ended.
+
+        The client's end may still be unread in the kernel.
+        """
+        rpc = attempt.rpc
+        if not rpc.pending or not rpc.client.is_disconnected():
+            return attempt.done
+        rpc.client_half_closed = True
+        self.counters.add("tx.for_nobody")
+        self.end_after_disconnect(now, rpc, half_closed=True)
+        if not attempt.done:
+            self.attempt_finished(now, attempt, Outcome.CANCELLED)
+        return True
+
     def _cancel_attempts(self, now: float, rpc: Rpc) -> None:
         cancel_written = self.deployment.cancellation_enabled or rpc.stream is not None
         for attempt in rpc.attempts:
--- a/hookpitch/net/backend_pool.py
+++ b/hookpitch/net/backend_pool.py
@@ -105,6 +105,8 @@
         now = self.clock.now()
         while self.waiting:
             attempt = self.waiting.popleft()
+            if self.host.drop_for_nobody(now, attempt):
+                continue
             if now < attempt.start_by:
                 connection.begin(attempt)
                 return
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -172,6 +172,26 @@
     assert node.counters.counts == node.counters.counts | {"tx.connect_failed": 1, "tx.sent": 2}
 
 
+@pytest.mark.parametrize("has_left", [True, False])
+def test_an_attempt_that_waited_for_a_connection_is_not_started_for_a_client_that_has_left(
+    has_left: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The connection is not read at that time, so the node is not notified of its end.
+    node = NodeOnMemoryNetwork(1)
+    node.network.dial_outcomes[7000] = "silent"
+    client = node.connect_client()
+    client.send(get_command("r1"))
+    node.pass_time(100)
+    monkeypatch.setattr(client.protocol, "peer_has_closed", lambda: has_left)
+    node.network.dials[-1].complete()
+    node.pass_time(1)
+    (cache,) = node.network.connections_to(7000)
+    assert bool(cache.receive()) is not has_left
+    assert client.receive() == (b"-ERR failed\r\n" if has_left else b"")
+    assert node.counters.counts.get("tx.for_nobody", 0) == has_left
+    assert len(node.socket_node.host.rpcs) == (not has_left)
+
+
 def test_a_silent_connect_times_out_and_waiting_attempts_use_the_first_free_connection() -> None:
     node = NodeOnMemoryNetwork(1)
     node.network.dial_outcomes[7000] = "silent"
