--- a/hookpitch/net/client_commands.py
+++ b/hookpitch/net/client_commands.py
@@ -45,7 +45,7 @@
 
 def _answer_without_accepting(connection: ClientConnection, words: list[bytes]) -> bytes | None:
     """Return the answer to an RPC that cannot be accepted, whatever it says; otherwise None."""
-    if connection.client_has_left or connection.registry.fails_new_requests:
+    if connection.reading.client_has_left or connection.registry.fails_new_requests:
         connection.host.counters.add("rpcs.client_left")
         return FAILED_REPLY
     if connection.is_over_limit:
@@ -53,7 +53,7 @@
         return _reject(connection, words, "rpcs.no_room")
     if connection.value is not None and connection.value.is_refused:
         return _reject(connection, words, "rpcs.no_memory")
-    if connection.is_backlog_stale:
+    if connection.reading.is_end_hidden:
         return _reject(connection, words, "rpcs.backlog")
     return None
 
--- a/hookpitch/net/client_connection.py
+++ b/hookpitch/net/client_connection.py
@@ -31,25 +31,14 @@
     allocated_bytes,
 )
 from hookpitch.net.client_commands import run_command
+from hookpitch.net.graceful_close import GracefulClose
+from hookpitch.net.read_control import ReadControl
 
 if TYPE_CHECKING:
     from hookpitch.net.client_registry import ClientRegistry
 
-# While a client's commands wait unread in the kernel, their deadlines run. These two bounds are
-# therefore far above what a well-behaved client has in flight.
-MAX_UNREAD_REPLY_BYTES = 1 << 23
-MAX_PENDING_COMMANDS = 4096
-# The same while the node is short of memory.
-MAX_UNREAD_WITHOUT_MEMORY_BYTES = 1 << 16
-MAX_PENDING_WITHOUT_MEMORY = 32
-
 COMMANDS_PER_TURN = 8  # commands of one connection that are run as soon as they are read
 VALUE_PROGRESS_BYTES = 4096  # bytes of a large value after which its client counts as active
-# From when the client's kernel has acknowledged the last reply until the close, so that the client
-# can read it.
-LINGER_MS = 100.0
-DELIVERY_CHECK_MS = 20.0  # interval at which the acknowledgement of the last reply is checked
-STALE_READ_MS = 50.0  # the client of a command read later than this may have disconnected
 
 
 @implementer(IHalfCloseableProtocol)
@@ -80,14 +69,9 @@
         self.is_over_limit = False  # answered with -BUSY, then closed
         self.has_sent_command = False  # at least one complete command
         self.is_close_scheduled = False  # a drain closes this connection at a later time
-        self.client_has_left = False  # the client had stopped sending when its commands were read
         self.peer_half_closed = False  # the client has stopped sending, and all bytes were read
-        self.has_backlog = False  # complete commands are left for later turns of the event loop
-        self.is_backlog_stale = False  # commands are rejected until the client's end can be seen
-        self._backlog_since: float | None = None  # when commands were first left in the kernel
-        self._is_throttled = False  # too much is pending or unread for a further command
-        self._is_finished = False  # the sending side is shut down, or the close has begun
-        self._delivered_at: float | None = None  # when the last reply was seen to be acknowledged
+        self.reading = ReadControl(self)
+        self._close = GracefulClose(self)
         self._is_parsing = False
 
         self.active_at = 0.0  # time of the connect, the last reply or a command's first byte
@@ -175,7 +159,7 @@
         count = 0
         try:
             age_ms = max(self.unread_age_ms(), self.clock.now() - self.last_byte_at)
-            self._check_whether_client_left(age_ms)
+            self.reading.check_client(age_ms)
             count = self._run_commands(limit, age_ms)
         except ProtocolError as error:
             self.host.counters.add("clients.malformed")
@@ -186,64 +170,33 @@
         self._stop_reading_if_draining()
         if self.is_closing:
             self.input_buffer.skip(len(self.input_buffer))
-            self._set_backlog(False)
+            self.reading.caught_up()
         self._input_memory.set(allocated_bytes(self.input_buffer))
         self._send_replies()
         self.update_eviction_order()
         return count
 
-    def _check_whether_client_left(self, age_ms: float) -> None:
-        """Find out whether the RPCs read next would be forwarded for nobody.
-
-        The end of a client's connection shows only once all that it has sent before has reached
-        this machine. While more is unread than this connection buffers, a client that has left
-        looks like one that sends at full speed, so its RPCs are rejected until that is read.
-        """
-        backlog_ms = 0.0 if self._backlog_since is None else self.clock.now() - self._backlog_since
-        is_stale = max(age_ms, backlog_ms) > STALE_READ_MS
-        self.client_has_left = is_stale and self.peer_has_closed()
-        self.is_backlog_stale = is_stale and not self.client_has_left and self.has_kernel_bytes()
-
     def _run_commands(self, limit: int, age_ms: float) -> int:
         for count in range(limit):
-            if self.is_closing or self._is_throttled:
+            if self.is_closing or self.reading.is_throttled:
                 return count
             words = self.parser.next_value()
             if words is NEED_DATA:
                 if self.parser.body_remaining and len(self.input_buffer):
                     self._store_value_bytes(self.parser.read_body(WRITE_CHUNK_BYTES))
                     continue
-                self._set_backlog(False)
+                self.reading.caught_up()
                 return count
             if words:
                 self.has_sent_command = True
                 run_command(self, words, age_ms)
                 self._release_value()
-                self._throttle_if_too_many()
+                self.reading.throttle_if_too_much()
         # The remaining commands run in later turns: hundreds of pipelined commands handled in one
         # turn would delay all deadlines.
-        if not self._is_throttled:
-            self._set_backlog(True)
+        self.reading.leave_for_later()
         return limit
 
-    def _set_backlog(self, has_backlog: bool) -> None:
-        """Record whether commands are left for later; nothing more is read while there are any."""
-        if has_backlog:
-            self._begin_backlog()
-            self.registry.backlog.add(self)
-        elif self._backlog_since is not None and not self.has_kernel_bytes():
-            self._backlog_since = None
-        if has_backlog == self.has_backlog:
-            return
-        self.has_backlog = has_backlog
-        if not has_backlog:
-            self.registry.backlog.remove(self)
-        self._update_reading()
-
-    def _begin_backlog(self) -> None:
-        if self._backlog_since is None:
-            self._backlog_since = self.clock.now()
-
     # ---- replies
 
     def add_reply(self, answer: bytes) -> None:
@@ -280,7 +233,7 @@
             if stream is not None:
                 self._start_stream(stream)
         self._account_output()
-        self._throttle_if_too_many()
+        self.reading.throttle_if_too_much()
         self._resume_reading()
         if not self.pending_replies:
             self.update_eviction_order()
@@ -362,49 +315,14 @@
 
     # ---- back-pressure and draining
 
-    def _throttle_if_too_many(self) -> None:
-        """Run no further command while too many wait for replies, or too much is unread."""
-        if self._is_throttled or self.is_closing:
-            return
-        pending = len(self.pending_replies)
-        unread_bytes = len(self.output_buffer)
-        if pending >= self._max_pending_commands or unread_bytes > self._max_unread_bytes:
-            self.host.counters.add("clients.paused")
-            self._is_throttled = True
-            self._begin_backlog()
-            self.has_backlog = False
-            self.registry.backlog.remove(self)
-            self._update_reading()
-
-    @property
-    def _max_pending_commands(self) -> int:
-        return MAX_PENDING_COMMANDS if self.host.rpcs.has_room else MAX_PENDING_WITHOUT_MEMORY
-
-    @property
-    def _max_unread_bytes(self) -> int:
-        if self.registry.is_reply_memory_short:
-            return MAX_UNREAD_WITHOUT_MEMORY_BYTES
-        return MAX_UNREAD_REPLY_BYTES
-
     def _resume_reading(self) -> None:
-        has_eased = (
-            2 * len(self.output_buffer) <= self._max_unread_bytes
-            and 2 * len(self.pending_replies) <= self._max_pending_commands
-        )
-        if self._is_throttled and has_eased and not self.is_closing and not self.is_lost:
-            self._is_throttled = False
-            self._update_reading()
+        if self.reading.end_throttling():
             self.bytes_received()  # commands that were buffered before the pause
 
-    def _update_reading(self) -> None:
-        """Read from the socket while commands are neither throttled nor left for later."""
-        if self.is_lost or self.is_closing:
-            return
-        is_paused = self._is_throttled or self.has_backlog
-        if is_paused and not self.paused:
-            self.pauseProducing()
-        elif not is_paused and self.paused:
-            self.resumeProducing()
+    @property
+    def has_backlog(self) -> bool:
+        """Whether complete commands are left for later turns of the event loop."""
+        return self.reading.has_backlog
 
     def update_eviction_order(self) -> None:
         """Move to the end of the registry's queue of eviction candidates, or leave that queue."""
@@ -487,40 +405,10 @@
                 self.finish()
 
     def finish(self) -> None:
-        """Shut down the sending side at once, and close once the client has the last reply.
-
-        Closing a socket that has unread bytes resets the connection, and the kernel drops what it
-        has not delivered. Reading these bytes is no way out: a command that was read and gets no
-        reply is lost, while the client retries one that was not read.
-        """
+        """Shut down the sending side at once, and close once the client has the last reply."""
         self.is_closing = True
-        if self._is_finished or (self.write_pending and self._plain_transport is not None):
-            return  # buffered output is written first
-        self._is_finished = True
-        if not self.peer_half_closed and self.shutdown_write():
-            self._check_delivery_later()
-        else:
-            self.transport.loseConnection()
-
-    def _check_delivery_later(self) -> None:
-        self.clock.deadlines.add(self.clock.now() + DELIVERY_CHECK_MS, self._check_delivery)
-
-    def _check_delivery(self, now: float) -> None:
-        """Close if the client has closed too, or has had `LINGER_MS` to read the last reply.
-
-        The registry's sweep ends a connection whose client does not read.
-        """
-        if self.is_lost:
-            return
-        if self.has_undelivered_bytes():
-            self._check_delivery_later()
-            return
-        if self._delivered_at is None:
-            self._delivered_at = now
-        if self.peer_has_closed() or now - self._delivered_at >= LINGER_MS:
-            self.close_now()
-        else:
-            self._check_delivery_later()
+        if not (self.write_pending and self._plain_transport is not None):
+            self._close.begin()  # otherwise buffered output is written first
 
     def readConnectionLost(self) -> None:
         """Handle a half-close: the client has stopped sending and may still read."""
@@ -539,7 +427,8 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Release the connection's resources, and let the host drop its RPCs."""
         self.is_lost = True
-        self.registry.backlog.remove(self)
+        self.reading.release()
+        self._close.release()
         self._release_value()
         self.host.connections.free(self.number)
         self.registry.connection_lost(self)
--- a/hookpitch/net/client_registry.py
+++ b/hookpitch/net/client_registry.py
@@ -19,8 +19,9 @@
 from hookpitch.core.host import Host
 from hookpitch.core.stream import MAX_UNSENT_BYTES, MIN_UNSENT_BYTES
 from hookpitch.net.backlog import Backlog
-from hookpitch.net.client_connection import LINGER_MS, ClientConnection
+from hookpitch.net.client_connection import ClientConnection
 from hookpitch.net.clock import Clock
+from hookpitch.net.graceful_close import LINGER_MS
 
 SWEEP_INTERVAL_MS = 250.0
 FIRST_COMMAND_MS = 2500.0  # timeout for completing the first command, or any command begun
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,7 +10,7 @@
 from hookpitch.balancer.interface import EndpointState
 from hookpitch.core.resp import bulk, command
 from hookpitch.core.stream import MAX_STREAMED_BYTES
-from hookpitch.net import client_connection
+from hookpitch.net import client_connection, read_control
 from hookpitch.net.buffered_protocol import WRITE_CHUNK_BYTES
 
 VALUE = b"*3\r\n" + bulk(b"v") + bulk(b"hit") + bulk(b"outstanding=1,recent_ms=2.5")
@@ -578,7 +578,7 @@
 def test_a_client_that_does_not_read_is_paused_and_cut_off_once_memory_is_short(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(client_connection, "MAX_UNREAD_REPLY_BYTES", 1 << 20)
+    monkeypatch.setattr(read_control, "MAX_UNREAD_REPLY_BYTES", 1 << 20)
     node = NodeOnMemoryNetwork(memory_mb=64)
     client, other = node.connect_client(), node.connect_client()
     other.send(command(b"PING"))
@@ -608,7 +608,7 @@
 def test_a_burst_of_commands_is_bounded_and_does_not_starve_others(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(client_connection, "MAX_PENDING_COMMANDS", 1024)
+    monkeypatch.setattr(read_control, "MAX_PENDING_COMMANDS", 1024)
     node = NodeOnMemoryNetwork()
     client, other = node.connect_client(), node.connect_client()
     client.send(command(b"PING") * 100 + b"".join(get_command(f"r{i}") for i in range(3000)))
