--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -18,6 +18,7 @@
     Endpoint,
     EndpointState,
     EndpointUpdate,
+    Idempotency,
     Method,
     Outcome,
     Report,
@@ -135,7 +136,8 @@
         timeout_ms = fields.timeout_within(method.hard_ms)
         if not timeout_ms > 0:
             return None
-        if self.repeated_ids.is_repeated(words[2], method):
+        is_repeatable = method.idempotency is Idempotency.IDEMPOTENT
+        if not is_repeatable and self.repeated_ids.is_repeated(words[2]):
             self.counters.add("rpcs.repeated_id")
             slot.answer = FAILED_REPLY
             return None
@@ -152,7 +154,7 @@
         rpc = Rpc(client, slot, words, method.name)
         rpc.accepted_at = now
         rpc.hard_deadline = now + timeout_ms - age_ms
-        if not self.repeated_ids.accept(rpc, method):
+        if not is_repeatable and not self.repeated_ids.accept(rpc, method):
             self._shed(slot, method, self.router.load_shedder.retry_after_ms(method))
             return None
         self.rpcs.add(rpc)
--- a/hookpitch/core/memory_budget.py
+++ b/hookpitch/core/memory_budget.py
@@ -18,30 +18,32 @@
         self.limit = limit
         self._parent = parent
 
-    @property
-    def available(self) -> int:
-        """The bytes that can be reserved now; 0 where more than the limit is held."""
-        available = max(0, self.limit - self.used)
-        return available if self._parent is None else min(available, self._parent.available)
+    def has(self, count: int) -> bool:
+        """Return whether `count` bytes can be reserved now."""
+        budget: MemoryBudget | None = self
+        while budget is not None:
+            if budget.used + count > budget.limit:
+                return False
+            budget = budget._parent
+        return True
 
     def reserve(self, count: int) -> bool:
         """Reserve `count` bytes; return False if the limit does not allow it."""
-        if count > self.available:
+        if not self.has(count):
             return False
         self.hold(count)
         return True
 
     def hold(self, count: int) -> None:
         """Reserve `count` bytes, whether or not the limit allows it."""
-        self.used += count
-        if self._parent is not None:
-            self._parent.hold(count)
+        budget: MemoryBudget | None = self
+        while budget is not None:
+            budget.used += count
+            budget = budget._parent
 
     def release(self, count: int) -> None:
         """Return `count` reserved bytes to the budget."""
-        self.used -= count
-        if self._parent is not None:
-            self._parent.release(count)
+        self.hold(-count)
 
 
 class MemoryUse:
--- a/hookpitch/core/repeated_ids.py
+++ b/hookpitch/core/repeated_ids.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from hookpitch.balancer.interface import Idempotency, Method
+from hookpitch.balancer.interface import Method
 from hookpitch.core.id_table import IdTable
 
 if TYPE_CHECKING:
@@ -26,25 +26,23 @@
 
 
 class RepeatedIds:
-    """The ids of the RPCs of one node that must not be accepted again."""
+    """The ids of the RPCs of one node that are not idempotent."""
 
     def __init__(self, host: DeadlineHost, table: IdTable) -> None:
         self._host = host
         self.table = table
 
-    def is_repeated(self, rpc_id: bytes, method: Method) -> bool:
-        """Return whether an RPC that must not run again may have run with this id, or may yet."""
-        return method.idempotency is not Idempotency.IDEMPOTENT and rpc_id in self.table
+    def is_repeated(self, rpc_id: bytes) -> bool:
+        """Return whether an RPC with this id may have run, or may run yet."""
+        return rpc_id in self.table
 
     def accept(self, rpc: Rpc, method: Method) -> bool:
         """Keep the id of an accepted RPC; return False if there is no room for it."""
-        if method.idempotency is Idempotency.IDEMPOTENT:
-            return True
         keep_ms = max(self._host.longest_deadline_ms, method.dedup_window_ms) + REPEAT_MARGIN_MS
         rpc.has_kept_id = self.table.add(rpc.id, keep_ms / 1000)
         return rpc.has_kept_id
 
     def ended(self, rpc: Rpc) -> None:
         """Forget the id of an RPC that has ended, if the RPC cannot have run."""
-        if rpc.has_kept_id and not rpc.may_have_run:
+        if not rpc.may_have_run:
             self.table.remove(rpc.id)
--- a/hookpitch/core/reply_queue.py
+++ b/hookpitch/core/reply_queue.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 from hookpitch.core.memory_budget import MemoryBudget
 from hookpitch.core.reply_slot import ReplySlot
 
@@ -25,10 +23,10 @@
 
     def __init__(self, budget: MemoryBudget) -> None:
         self._budget = budget
-        self._slots: deque[ReplySlot] | None = None  # while there are any: most clients are idle
+        self._slots: list[ReplySlot] = []
 
     def __len__(self) -> int:
-        return len(self._slots) if self._slots else 0
+        return len(self._slots)
 
     @property
     def first(self) -> ReplySlot | None:
@@ -37,8 +35,6 @@
 
     def add(self) -> ReplySlot:
         """Add the slot of a command."""
-        if self._slots is None:
-            self._slots = deque()
         slot = ReplySlot()
         self._slots.append(slot)
         return slot
@@ -49,10 +45,12 @@
         `is_blocked`: the client has left earlier replies unread, so that this one has to wait too.
         """
         slot.answer = answer
-        is_first = slot is self.first
+        if not self._slots:
+            return True  # the queue was cleared, and the answer is not sent
+        is_first = slot is self._slots[0]
         if is_first and not is_blocked:
             return True
-        if len(answer) > MAX_SHORT_ANSWER_BYTES and len(answer) > self._budget.available:
+        if len(answer) > MAX_SHORT_ANSWER_BYTES and not self._budget.has(len(answer)):
             slot.answer = error
         if not is_first:
             slot.held_bytes = SLOT_BYTES + len(slot.answer)
@@ -75,10 +73,7 @@
         return b"".join(answers)
 
     def _remove_first(self) -> bytes:
-        slots = self._slots
-        slot = slots.popleft()
-        if not slots:
-            self._slots = None
+        slot = self._slots.pop(0)
         if slot.held_bytes:
             self._budget.release(slot.held_bytes)
             slot.held_bytes = 0
@@ -86,7 +81,7 @@
 
     def clear(self) -> None:
         """Remove all slots, and release what their answers hold."""
-        for slot in self._slots or ():
+        for slot in self._slots:
             self._budget.release(slot.held_bytes)
             slot.held_bytes = 0
-        self._slots = None
+        self._slots = []
--- a/hookpitch/core/rpc_table.py
+++ b/hookpitch/core/rpc_table.py
@@ -36,7 +36,7 @@
         self._rpc_budget = rpc_budget
         self._value_budget = value_budget
         self._slots: SlotTable[Rpc] = SlotTable()
-        self.on_removed: Callable[[Rpc], None] | None = None
+        self.on_removed: Callable[[Rpc], None] | None = None  # called for RPCs with a kept id
         self.ids: set[bytes] = set()
         self.pending = 0
 
@@ -46,7 +46,7 @@
     @property
     def has_room(self) -> bool:
         """Whether there is memory for one more RPC."""
-        return self._rpc_budget.available >= RPC_BYTES
+        return self._rpc_budget.has(RPC_BYTES)
 
     def add(self, rpc: Rpc) -> None:
         """Add an RPC and set its number."""
@@ -94,7 +94,7 @@
         if self._slots.get(rpc.number) is None:
             return
         self._slots.free(rpc.number)
-        if self.on_removed is not None:
+        if rpc.has_kept_id and self.on_removed is not None:
             self.on_removed(rpc)
         self._rpc_budget.release(RPC_BYTES)
         if isinstance(rpc.value, ChunkedValue):
--- a/hookpitch/net/backend_connection.py
+++ b/hookpitch/net/backend_connection.py
@@ -85,6 +85,8 @@
 
     def account_input(self) -> None:
         """Reserve the memory of an incomplete response; end its attempt where there is none."""
+        if not len(self.input_buffer) and not self._input_memory.held:
+            return
         held = allocated_bytes(self.input_buffer)
         if held == self._input_memory.held:
             return
--- a/hookpitch/net/client_commands.py
+++ b/hookpitch/net/client_commands.py
@@ -75,7 +75,7 @@
         now = connection.clock.now()
         rpc = connection.host.accept(now, connection, slot, words, age_ms)
         if rpc is not None:
-            connection.value = None  # the RPC owns the value now
+            connection.value_taken()  # the RPC owns the value now
             if rpc.pending:
                 connection.rpcs[slot] = rpc
             return None
--- a/hookpitch/net/client_connection.py
+++ b/hookpitch/net/client_connection.py
@@ -32,7 +32,7 @@
 )
 from hookpitch.net.client_commands import run_command
 from hookpitch.net.graceful_close import GracefulClose
-from hookpitch.net.read_control import ReadControl
+from hookpitch.net.read_control import MAX_PENDING_WITHOUT_MEMORY, ReadControl
 
 if TYPE_CHECKING:
     from hookpitch.net.client_registry import ClientRegistry
@@ -141,12 +141,18 @@
             self.active_at = self.clock.now()
 
     def _release_value(self) -> None:
-        """Release the memory of a large value that no RPC has taken over."""
+        """Release the memory of a large value, unless an RPC has taken that over."""
         self.registry.unfinished_values.pop(self, None)
         if self.value is not None:
             self.value.discard()
             self.value = None
 
+    def value_taken(self) -> None:
+        """Leave the large value of a command to its RPC, which has taken it over."""
+        if self.value is not None:
+            self.value = None
+            self.registry.unfinished_values.pop(self, None)
+
     def bytes_received(self) -> None:
         """Run the complete commands, up to `COMMANDS_PER_TURN` of them."""
         self.run_commands(COMMANDS_PER_TURN)
@@ -171,7 +177,8 @@
         if self.is_closing:
             self.input_buffer.skip(len(self.input_buffer))
             self.reading.caught_up()
-        self._input_memory.set(allocated_bytes(self.input_buffer))
+        if len(self.input_buffer) or self._input_memory.held:
+            self._input_memory.set(allocated_bytes(self.input_buffer))
         self._send_replies()
         self.update_eviction_order()
         return count
@@ -190,8 +197,10 @@
             if words:
                 self.has_sent_command = True
                 run_command(self, words, age_ms)
-                self._release_value()
-                self.reading.throttle_if_too_much()
+                if self.value is not None:
+                    self._release_value()
+                if len(self.pending_replies) >= MAX_PENDING_WITHOUT_MEMORY:
+                    self.reading.throttle_if_too_much()
         # The remaining commands run in later turns: hundreds of pipelined commands handled in one
         # turn would delay all deadlines.
         self.reading.leave_for_later()
@@ -206,7 +215,7 @@
     def set_answer(self, slot: ReplySlot, answer: bytes) -> None:
         """Set the reply to a command, which is sent once it is its turn."""
         is_blocked = self.write_pending or (
-            len(answer) > self.host.reply_budget.available and self.has_undelivered_bytes()
+            not self.host.reply_budget.has(len(answer)) and self.has_undelivered_bytes()
         )
         if not self.pending_replies.answer(slot, answer, FAILED_REPLY, is_blocked):
             self.host.counters.add("rpcs.reply_no_memory")
@@ -225,22 +234,26 @@
 
     def _send_replies(self) -> None:
         """Send the available replies, up to the first command that has no reply yet."""
-        while answers := self.pending_replies.take_ready():
+        pending = self.pending_replies
+        while pending and (answers := pending.take_ready()):
             self.send(answers)
             self.registry.mark_active(self)
-        if self.pending_replies and self.current_stream is None:
-            stream = self.streams.get(self.pending_replies.first)
+        if self.streams and self.current_stream is None:
+            stream = self.streams.get(pending.first)
             if stream is not None:
                 self._start_stream(stream)
-        self._account_output()
-        self.reading.throttle_if_too_much()
+        if self.write_pending or self._output_memory.held:
+            self._account_output()
+            self.reading.throttle_if_too_much()
         self._resume_reading()
-        if not self.pending_replies:
+        if not pending:
             self.update_eviction_order()
         self._close_if_done()
 
     def _account_output(self) -> None:
         """Hold the memory of the replies that the client has not read."""
+        if not self.write_pending and not self._output_memory.held:
+            return
         self._has_stream_memory = self._has_stream_memory and bool(self.streams)
         count = allocated_bytes(self.output_buffer)
         if self._has_stream_memory:
@@ -316,7 +329,7 @@
     # ---- back-pressure and draining
 
     def _resume_reading(self) -> None:
-        if self.reading.end_throttling():
+        if self.reading.is_throttled and self.reading.end_throttling():
             self.bytes_received()  # commands that were buffered before the pause
 
     @property
--- a/hookpitch/net/client_registry.py
+++ b/hookpitch/net/client_registry.py
@@ -192,7 +192,7 @@
     def is_reply_memory_short(self) -> bool:
         """Whether little memory is left for replies that clients have not read."""
         budget = self.host.reply_budget
-        return budget.available < MIN_AVAILABLE_FRACTION * budget.limit
+        return not budget.has(int(MIN_AVAILABLE_FRACTION * budget.limit))
 
     def reclaim_value_memory(self, count: int) -> None:
         """Drop the unfinished values of clients that have fallen silent, until there is memory.
@@ -203,7 +203,7 @@
         budget = self.host.value_budget
         silent_since = self.clock.now() - MIN_SILENCE_MS
         for client in list(self.unfinished_values):
-            if budget.available >= count or client.last_byte_at > silent_since:
+            if budget.has(count) or client.last_byte_at > silent_since:
                 return
             del self.unfinished_values[client]
             if client.value is not None:
--- a/hookpitch/net/read_control.py
+++ b/hookpitch/net/read_control.py
@@ -102,6 +102,11 @@
         connection = self._connection
         if self.is_throttled or connection is None or connection.is_closing:
             return
+        if (
+            len(connection.pending_replies) < MAX_PENDING_WITHOUT_MEMORY
+            and len(connection.output_buffer) <= MAX_UNREAD_WITHOUT_MEMORY_BYTES
+        ):
+            return
         if (
             len(connection.pending_replies) >= self._max_pending_commands
             or len(connection.output_buffer) > self._max_unread_bytes
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,6 +5,8 @@
 import pytest
 
 from hookpitch.core.deadlines import Deadlines
+from hookpitch.core.memory_budget import MemoryBudget
+from hookpitch.core.reply_queue import ReplyQueue
 from hookpitch.core.request_parser import INVALID, RequestFields, parse_extras
 from hookpitch.core.resp import (
     DROPPED_WORD,
@@ -177,3 +179,32 @@
         assert parse_extras(extras) == INVALID
     assert RequestFields(b"read", 900.0).timeout_within(400.0) == 400.0
     assert RequestFields(b"read").timeout_within(400.0) == 400.0
+
+
+def test_answers_that_wait_are_held_in_the_budget_until_they_are_taken_or_dropped() -> None:
+    budget = MemoryBudget(1000)
+    queue = ReplyQueue(budget)
+    first, second, third = queue.add(), queue.add(), queue.add()
+    assert queue.answer(second, b"v" * 700, b"-ERR\r\n", is_blocked=False)
+    assert 700 < budget.used <= 1000
+    assert not queue.answer(third, b"v" * 700, b"-ERR\r\n", is_blocked=False)
+    assert queue.take_ready() == b""
+    assert queue.answer(first, b"+OK\r\n", b"-ERR\r\n", is_blocked=False)
+    assert queue.take_ready() == b"+OK\r\n" + b"v" * 700 + b"-ERR\r\n"
+    assert budget.used == len(queue) == 0
+    late, cleared = queue.add(), queue.add()
+    queue.answer(cleared, b"v" * 300, b"-ERR\r\n", is_blocked=False)
+    queue.clear()
+    queue.answer(late, b"v" * 300, b"-ERR\r\n", is_blocked=False)
+    assert budget.used == 0 and queue.take_ready() == b""
+
+
+def test_a_part_of_the_memory_counts_in_the_whole() -> None:
+    whole = MemoryBudget(100)
+    one, other = MemoryBudget(80, whole), MemoryBudget(80, whole)
+    assert one.reserve(70) and not other.reserve(40) and other.reserve(30)
+    assert not one.has(1) and whole.used == 100
+    other.hold(5)  # what has to be kept in any case
+    assert whole.used == 105 and not other.reserve(0)
+    other.release(35)
+    assert one.has(10) and not one.has(11) and whole.used == 70
