--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -13,6 +13,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from typing import Self
 
 from peers import MAX_VALUE_BYTES, NodeProcess
 
@@ -67,7 +68,27 @@
         return answers
 
 
-class AnsweringServers:
+class BackgroundThread:
+    """Runs beside a test, from entering to leaving its context."""
+
+    def __init__(self) -> None:
+        self._is_stopping = False
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._is_stopping = True
+        self._thread.join()
+
+    def _run(self) -> None:
+        """Run until `_is_stopping` is set."""
+        raise NotImplementedError
+
+
+class AnsweringServers(BackgroundThread):
     """The caches and the origin of a node, which answer at once; a context manager."""
 
     def __init__(self, node: NodeProcess, value: bytes) -> None:
@@ -76,21 +97,12 @@
         for server in node.caches:
             self._register_listener(server.listener, lambda: _CacheEnd(self._answer))
         self._register_listener(node.origin.listener, _OriginEnd)
-        self._is_stopping = False
-        self._thread = threading.Thread(target=self._run, daemon=True)
+        super().__init__()
 
     def _register_listener(self, listener: socket.socket, make_end: Callable[[], object]) -> None:
         listener.setblocking(False)
         self._selector.register(listener, selectors.EVENT_READ, make_end)
 
-    def __enter__(self) -> AnsweringServers:
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._is_stopping = True
-        self._thread.join()
-
     def _run(self) -> None:
         unsent: dict[socket.socket, bytes] = {}
         while not self._is_stopping:
@@ -141,26 +153,17 @@
     """The node has closed a connection between two requests, just as the next one was sent."""
 
 
-class UsualClient:
+class UsualClient(BackgroundThread):
     """A client that asks again and again, each time on the same connection; a context manager."""
 
     def __init__(self, node: NodeProcess) -> None:
+        super().__init__()
         self._port = node.port
-        self._is_stopping = False
-        self._thread = threading.Thread(target=self._run, daemon=True)
         self._asked = 0
         self.served = 0
         self.rejected = 0
         self.late: list[str] = []  # requests without a whole answer in time
 
-    def __enter__(self) -> UsualClient:
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._is_stopping = True
-        self._thread.join()
-
     def _run(self) -> None:
         connection: socket.socket | None = None
         while not self._is_stopping:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -27,7 +27,14 @@
 from pathlib import Path
 from typing import Any
 
-from crowds import READ_BYTES, Crowd, read_nothing, send_at_full_speed, send_unfinished
+from crowds import (
+    READ_BYTES,
+    BackgroundThread,
+    Crowd,
+    read_nothing,
+    send_at_full_speed,
+    send_unfinished,
+)
 from peers import MAX_VALUE_BYTES, NodeProcess, method_settings
 
 from hookpitch.core.resp import NEED_DATA, Parser, bulk, command
@@ -43,7 +50,7 @@
 METHOD_IDEMPOTENCY = {"read": "retryable", "once": "fragile", "keyed": "dedup"}
 
 
-class RecordingServers:
+class RecordingServers(BackgroundThread):
     """The caches of one node: answer each command with its id, and record when each id came."""
 
     def __init__(self, node: NodeProcess, seed: int) -> None:
@@ -57,16 +64,7 @@
         self._unsent: dict[socket.socket, bytes] = {}
         self._count = 0
         self.runs: Counter[bytes] = Counter()  # by id
-        self._is_stopping = False
-        self._thread = threading.Thread(target=self._run, daemon=True)
-
-    def __enter__(self) -> RecordingServers:
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self._is_stopping = True
-        self._thread.join()
+        super().__init__()
 
     def _run(self) -> None:
         while not self._is_stopping:
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -1,5 +1,6 @@
 """Connections to servers when two events happen at the same time; see docs/crossings.md."""
 
+import contextlib
 import fcntl
 import socket
 import struct
@@ -302,3 +303,21 @@
         origin.receive_head()
         origin.send(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv")
         assert client.receive_value() == b"v"
+
+
+@pytest.mark.parametrize("idempotency", ["retryable", "fragile", "dedup"])
+def test_a_large_write_to_a_server_that_reads_slowly_is_answered_before_its_deadline(
+    tmp_path: Path, idempotency: str
+) -> None:
+    methods = [method_settings("write", idempotency, soft_s=0.5, hard_deadline_s=1.0)]
+    with NodeProcess(tmp_path, 1, methods=methods) as node:
+        node.origin.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        client = node.connect_client()
+        client.send(command(b"OBJ.SET", b"k", b"w1", b"c=write,d=900", bytes(4_000_000)))
+        written_at = time.monotonic()
+        origin = node.origin.accept()
+        while client.is_silent(0.02):
+            with contextlib.suppress(ConnectionError):  # the node has given this attempt up
+                origin.sock.recv(4096)
+            assert time.monotonic() - written_at < 0.95
+        assert client.receive_line().startswith(b"-")
