Answer every command that was read before its connection is closed

Cause: `is_closing` meant "drop what is in the input buffer" and "read on, and drop that, too". What is read cannot be put back, so the client neither gets an answer nor a reset that tells it to send the request again.

Change: `stop_reading` is the one way to begin a close. It stops the reading, so that later commands stay unread in the kernel and the close resets the connection; what was read is still run in its turns, and RPCs among it are answered with -BUSY (`rpcs.closing`) instead of being forwarded. After malformed input the parser goes on at the next thing that looks like a command; it is never forwarded. A connection with commands left is no candidate for eviction, and is not finished before they are answered. The reactor does not read a connection whose reading an earlier event of the same turn has stopped.

--- a/hookpitch/core/resp.py
+++ b/hookpitch/core/resp.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import re
 from enum import Enum
 from typing import Final
 
@@ -30,6 +31,7 @@
 # The index in the outermost array at which a value longer than `MAX_BULK_BYTES` is allowed.
 COMMAND_VALUE_INDEX = 4  # OBJ.SET key id extras VALUE
 REPLY_VALUE_INDEX = 0
+COMMAND_START = re.compile(rb"\*\d{1,2}\r\n\$\d{1,7}\r\n")  # a plausible command's two headers
 DOLLAR = ord("$")
 ZERO = ord("0")
 
@@ -314,6 +316,16 @@
     return number
 
 
+def skip_to_next_command(ring: Ring) -> None:
+    """Skip the bytes up to what looks like the start of a command, or all bytes if nothing does.
+
+    After malformed input nobody can tell for sure where the next command begins. A new parser has
+    to be used from there on, and what it reads must not be forwarded.
+    """
+    start = COMMAND_START.search(ring.peek(len(ring)))
+    ring.skip(len(ring) if start is None else start.start())
+
+
 def bulk(value: bytes | None) -> bytes:
     """Encode a bulk string; None is encoded as null."""
     return b"$-1\r\n" if value is None else b"$%d\r\n%b\r\n" % (len(value), value)
--- a/hookpitch/net/client_commands.py
+++ b/hookpitch/net/client_commands.py
@@ -45,12 +45,15 @@
 
 def _answer_without_accepting(connection: ClientConnection, words: list[bytes]) -> bytes | None:
     """Return the answer to an RPC that cannot be accepted, whatever it says; otherwise None."""
-    if connection.reading.client_has_left or connection.registry.fails_new_requests:
+    has_left = connection.reading.client_has_left or connection.peer_half_closed
+    if has_left or connection.registry.fails_new_requests:
         connection.host.counters.add("rpcs.client_left")
         return FAILED_REPLY
     if connection.is_over_limit:
-        connection.is_closing = True
+        connection.stop_reading()
         return _reject(connection, words, "rpcs.no_room")
+    if connection.is_closing:
+        return _reject(connection, words, "rpcs.closing")
     if connection.value is not None and connection.value.is_refused:
         return _reject(connection, words, "rpcs.no_memory")
     if connection.reading.is_end_hidden:
@@ -108,7 +111,7 @@
 
 def _handle_quit(connection: ClientConnection, _words: list[bytes], _: float) -> None:
     connection.add_reply(OK)
-    connection.is_closing = True
+    connection.stop_reading()
 
 
 def _handle_unknown(connection: ClientConnection, _words: list[bytes], _: float) -> None:
--- a/hookpitch/net/client_connection.py
+++ b/hookpitch/net/client_connection.py
@@ -3,13 +3,13 @@
 State: a parser, a queue with one slot for each command's reply, the open RPCs, and the responses
 that are streamed instead of buffered. Invariants: replies are sent in the order of the commands; of
 several streamed responses only the one at the head of the queue is being sent; nothing is read
-while `is_closing`. A command that is still unread in the kernel counts as received, and its
-deadlines run.
+while `is_closing`. Every command that has been read is answered before the connection is closed;
+one that is unread in the kernel makes the close a reset, after which the client sends it again. Its
+deadlines run while it is unread.
 """
 
 from __future__ import annotations
 
-from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from twisted.internet.interfaces import IHalfCloseableProtocol
@@ -21,7 +21,7 @@
 from hookpitch.core.memory_budget import MemoryUse
 from hookpitch.core.reply_queue import ReplyQueue
 from hookpitch.core.reply_slot import ReplySlot
-from hookpitch.core.resp import NEED_DATA, Parser, ProtocolError
+from hookpitch.core.resp import NEED_DATA, Parser, ProtocolError, skip_to_next_command
 from hookpitch.core.rpc import Rpc
 from hookpitch.core.rpc_table import FAILED_REPLY
 from hookpitch.core.stream import MAX_STREAMED_BYTES, MIN_STREAM_MEMORY_BYTES, Stream
@@ -50,9 +50,7 @@
         self.registry = registry
         self.host = registry.host
         self.clock = registry.clock
-        self.parser = Parser(
-            self.input_buffer, commands_only=True, max_value_bytes=MAX_STREAMED_BYTES
-        )
+        self.parser = self._new_parser()
         self.number = -1  # the connection's slot in the host's connection table
 
         self.pending_replies = ReplyQueue(self.host.reply_budget)
@@ -64,7 +62,7 @@
         self._output_memory = MemoryUse(self.host.reply_budget)
         self._has_stream_memory = False  # reserved for the streams of this connection
 
-        self.is_closing = False  # nothing more is read
+        self.is_closing = False  # nothing more is read, and no RPC is accepted
         self.is_lost = False  # the connection has closed
         self.is_over_limit = False  # answered with -BUSY, then closed
         self.has_sent_command = False  # at least one complete command
@@ -78,6 +76,9 @@
         self.last_byte_at = 0.0
         self.write_progress_at = 0.0  # when the client last took a part of its unread replies
 
+    def _new_parser(self) -> Parser:
+        return Parser(self.input_buffer, commands_only=True, max_value_bytes=MAX_STREAMED_BYTES)
+
     def connectionMade(self) -> None:
         """Register the connection; the registry may close another connection for it."""
         super().connectionMade()
@@ -114,7 +115,7 @@
             self.last_byte_at = self.clock.now()
         if self.has_sent_command and self.parser.at_boundary:
             self.active_at = self.last_byte_at
-        if self.parser.body_remaining and not len(self.input_buffer) and not self.is_closing:
+        if self.parser.body_remaining and not len(self.input_buffer):
             remaining = self.parser.body_remaining
             part = data if len(data) <= remaining else data[:remaining]
             self.parser.body_remaining -= len(part)
@@ -167,27 +168,29 @@
             age_ms = max(self.unread_age_ms(), self.clock.now() - self.last_byte_at)
             self.reading.check_client(age_ms)
             count = self._run_commands(limit, age_ms)
-        except ProtocolError as error:
-            self.host.counters.add("clients.malformed")
-            self.add_reply(b"-ERR %b\r\n" % str(error).encode())
-            self.is_closing = True
         finally:
             self._is_parsing = False
         self._stop_reading_if_draining()
-        if self.is_closing:
-            self.input_buffer.skip(len(self.input_buffer))
-            self.reading.caught_up()
         if len(self.input_buffer) or self._input_memory.held:
             self._input_memory.set(allocated_bytes(self.input_buffer))
         self._send_replies()
         self.update_eviction_order()
         return count
 
+    def run_commands_left(self) -> None:
+        """Run the commands that are left for later turns now."""
+        while self.has_backlog and self.run_commands(COMMANDS_PER_TURN):
+            pass
+
     def _run_commands(self, limit: int, age_ms: float) -> int:
         for count in range(limit):
-            if self.is_closing or self.reading.is_throttled:
+            if self.reading.is_throttled:
                 return count
-            words = self.parser.next_value()
+            try:
+                words = self.parser.next_value()
+            except ProtocolError as error:
+                self._reject_malformed(error)
+                continue
             if words is NEED_DATA:
                 if self.parser.body_remaining and len(self.input_buffer):
                     self._store_value_bytes(self.parser.read_body(WRITE_CHUNK_BYTES))
@@ -206,6 +209,15 @@
         self.reading.leave_for_later()
         return limit
 
+    def _reject_malformed(self, error: ProtocolError) -> None:
+        """Answer malformed input, and go on to the commands that were read behind it."""
+        self.host.counters.add("clients.malformed")
+        self.add_reply(b"-ERR %b\r\n" % str(error).encode())
+        self.stop_reading()
+        self._release_value()
+        skip_to_next_command(self.input_buffer)
+        self.parser = self._new_parser()
+
     # ---- replies
 
     def add_reply(self, answer: bytes) -> None:
@@ -321,7 +333,7 @@
         else:
             # No error can be sent: the client would read it as part of the value.
             self.current_stream = None
-            self.is_closing = True
+            self.stop_reading()
             self.pending_replies.clear()
         if not self.is_lost:
             self._send_replies()
@@ -337,6 +349,16 @@
         """Whether complete commands are left for later turns of the event loop."""
         return self.reading.has_backlog
 
+    @property
+    def has_commands_left(self) -> bool:
+        """Whether commands may have been read that have not been run."""
+        return self.reading.has_backlog or self.reading.is_throttled
+
+    def read_now(self) -> None:
+        """Read what is unread, unless nothing more is read."""
+        if not self.is_closing:
+            super().read_now()
+
     def update_eviction_order(self) -> None:
         """Move to the end of the registry's queue of eviction candidates, or leave that queue."""
         self.registry.remove_eviction_candidate(self)
@@ -344,6 +366,7 @@
             not self.pending_replies
             and not self.is_closing
             and not self.is_lost
+            and not self.has_commands_left
             and not len(self.output_buffer)
         ):
             self.registry.add_eviction_candidate(self)
@@ -361,8 +384,7 @@
             and not self.is_closing
             and self.parser.at_boundary
         ):
-            self.is_closing = True
-            self.pauseProducing()
+            self.stop_reading()
 
     def all_written(self) -> None:
         """Continue once all buffered replies have been written."""
@@ -397,7 +419,8 @@
         # rest of the command before it closes the connection.
         if self.is_lost:
             return
-        if self.is_closing and not self.pending_replies and not len(self.output_buffer):
+        is_answered = not self.pending_replies and not self.has_commands_left
+        if self.is_closing and is_answered and not len(self.output_buffer):
             self.finish()
         elif (
             self.registry.is_draining
@@ -417,9 +440,21 @@
             if not self.is_lost and self.is_idle:
                 self.finish()
 
+    def stop_reading(self) -> None:
+        """Read nothing more; the connection closes once all that was read is answered."""
+        if not self.is_closing:
+            self.is_closing = True
+            if not self.is_lost:
+                self.pauseProducing()
+
+    def close_when_answered(self) -> None:
+        """Read nothing more, and close as soon as all commands that were read are answered."""
+        self.stop_reading()
+        self._close_if_done()
+
     def finish(self) -> None:
         """Shut down the sending side at once, and close once the client has the last reply."""
-        self.is_closing = True
+        self.stop_reading()
         if not (self.write_pending and self._plain_transport is not None):
             self._close.begin()  # otherwise buffered output is written first
 
@@ -427,12 +462,8 @@
         """Handle a half-close: the client has stopped sending and may still read."""
         self.host.client_disconnected(self.clock.now(), list(self.rpcs.values()), still_reads=True)
         self.peer_half_closed = True
-        with suppress(ProtocolError):
-            # Commands that have not started fail, as nothing more is sent to backends.
-            while not self.is_closing and self.parser.next_value() is not NEED_DATA:
-                self.add_reply(FAILED_REPLY)
-        self.is_closing = True
-        self._send_replies()
+        self.stop_reading()
+        self.run_commands(COMMANDS_PER_TURN)  # RPCs fail, as nothing more is sent to backends
 
     def writeConnectionLost(self) -> None:
         """Ignore the shutdown of this node's own sending side."""
--- a/hookpitch/net/client_registry.py
+++ b/hookpitch/net/client_registry.py
@@ -174,12 +174,15 @@
 
     def _close_over_limit(self, client: ClientConnection) -> None:
         """Close a connection in this turn of the event loop: others need its descriptor now."""
+        if not client.is_lost and client.has_kernel_bytes():
+            client.read_now()
         is_answered = not client.pending_replies and not len(client.output_buffer)
-        if client.is_lost or not is_answered or not client.parser.at_boundary:
+        has_commands = client.has_commands_left or not client.parser.at_boundary
+        if client.is_lost or not is_answered or has_commands:
             return
         if not client.is_closing:
             self.host.counters.add(CloseReason.SILENT.value)
-        client.is_closing = True
+        client.stop_reading()
         client.close_now()
 
     @property
@@ -256,7 +259,7 @@
     def close(self, client: ClientConnection, reason: CloseReason) -> None:
         """Close a connection at once, or later where the client may not have its last reply."""
         self.host.counters.add(reason.value)
-        client.is_closing = True
+        client.stop_reading()
         client.update_eviction_order()
         just_replied = client.active_at > self.clock.now() - LINGER_MS
         if just_replied or client.has_undelivered_bytes():
@@ -294,10 +297,9 @@
         """Close all connections at the end of a shutdown, except those with a partial command."""
         self.fails_new_requests = True  # RPCs that become complete from now on fail at once
         for client in list(self.connections):
+            client.run_commands_left()
             if client.pending_replies or client.parser.at_boundary:
-                client.is_closing = True
-                client.pending_replies.clear()
-                client.finish()
+                client.close_when_answered()
 
     def check_all_closed(self) -> None:
         """Call `on_all_closed` in a shutdown once the last connection has closed."""
--- a/hookpitch/net/prioritized_reactor.py
+++ b/hookpitch/net/prioritized_reactor.py
@@ -78,8 +78,11 @@
     doIteration = doPoll
 
     def _handle(self, selectable: Any, descriptor: int, event: int) -> None:  # noqa: ANN401 - any of Twisted's selectables
+        if event & EPOLLIN and descriptor not in self._reads:
+            event &= ~EPOLLIN  # an event handled before in this turn has stopped the reading
         if event != EPOLLIN:
-            self._doReadOrWrite(selectable, descriptor, event)
+            if event:
+                self._doReadOrWrite(selectable, descriptor, event)
             return
         try:
             failure = selectable.doRead()
--- a/hookpitch/net/read_control.py
+++ b/hookpitch/net/read_control.py
@@ -100,7 +100,7 @@
     def throttle_if_too_much(self) -> None:
         """Run no further command while too many wait for replies, or too much is unread."""
         connection = self._connection
-        if self.is_throttled or connection is None or connection.is_closing:
+        if self.is_throttled or connection is None:
             return
         if (
             len(connection.pending_replies) < MAX_PENDING_WITHOUT_MEMORY
@@ -120,7 +120,7 @@
     def end_throttling(self) -> bool:
         """Read on once the reasons to throttle have eased; return whether that is so now."""
         connection = self._connection
-        if not self.is_throttled or connection is None or connection.is_closing:
+        if not self.is_throttled or connection is None:
             return False
         has_eased = (
             2 * len(connection.output_buffer) <= self._max_unread_bytes
@@ -144,7 +144,7 @@
     def update(self) -> None:
         """Read from the socket unless there is a reason not to."""
         connection = self._connection
-        if connection.is_lost or connection.is_closing:
+        if connection is None or connection.is_lost or connection.is_closing:
             return
         is_paused = self.is_throttled or self.has_backlog
         if is_paused and not connection.paused:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -36,6 +36,8 @@
 POLL_S = 0.005
 MAX_VALUE_BYTES = 1 << 22
 NODE_PORTS = range(20000, 32000)  # below the range that Linux takes for outgoing connections
+RESET_BEHIND_END_S = 0.5  # within this time after the end of the stream a reset follows
+TCP_CLOSE = 7  # the state of a socket whose connection was reset
 Settings = dict[str, Any]
 
 
@@ -387,3 +389,18 @@
     connection.send(
         http_chunk(change if isinstance(change, bytes) else json.dumps(change).encode() + b"\n")
     )
+
+
+def receive_all_answers(client: PeerConnection) -> tuple[list[Value], str]:
+    """Receive answers until the node ends the connection; return them, and how it ended."""
+    answers = []
+    while True:
+        try:
+            answers.append(client.receive_value())
+        except EOFError:
+            break
+        except ConnectionResetError:
+            return answers, "reset"
+    time.sleep(RESET_BEHIND_END_S)
+    state = client.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    return answers, "reset" if state == TCP_CLOSE else "fin"
