Lose no command behind a large value that breaks off

What callers saw: a client pipelines a read of a large value and others; the cache resets its connection in the middle of the value.

Cause: commands are read and run behind a value that is passed on while it arrives, although its end is not sure.

Change: nothing is read from a client while a value is streamed to it that its backend may break off; later commands wait in the kernel, so that a close is a reset, and their time limits run (their wait is not taken for load of the node). Where commands were read behind an RPC before its value began, the value is collected first, like one of the origin without a length; if it breaks off then, that is a failed attempt like any other. `StoredReply`, which existed, forwards it.

--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -123,9 +123,12 @@
         slot: ReplySlot,
         words: Sequence[bytes],
         age_ms: float = 0.0,
+        load_wait_ms: float | None = None,
     ) -> Rpc | None:
         """Accept a client's RPC, which was read `age_ms` after it had arrived.
 
+        `load_wait_ms` is the part of that for which the node was too busy to read it, where that
+        is not all of it.
         `words` are the command's name and its arguments. Returns None if an argument is invalid or
         if the RPC was shed; in the second case the slot holds the answer.
         """
@@ -146,7 +149,7 @@
             self._count_rejected(method)
             slot.answer = self.busy_reply(self.router.load_shedder.retry_after_ms(method))
             return None
-        self.admission.record_arrival(age_ms)
+        self.admission.record_arrival(age_ms if load_wait_ms is None else load_wait_ms)
         retry_after_ms = self.router.shed_delay(now, method.name, fields.tenant, age_ms)
         if retry_after_ms >= 0 or age_ms >= timeout_ms:
             self._shed(slot, method, retry_after_ms)
--- a/hookpitch/core/interfaces.py
+++ b/hookpitch/core/interfaces.py
@@ -50,6 +50,9 @@
     def reply(self, slot: ReplySlot, answer: bytes) -> None:
         """Answer an RPC; `answer` is the end of the reply where the reply was streamed."""
 
+    def has_commands_behind(self, slot: ReplySlot) -> bool:
+        """Return whether a command was read after that of a slot, and has to be answered too."""
+
     def reserve_stream_memory(self) -> bool:
         """Reserve memory for a reply that arrives in chunks; return False if there is none."""
 
--- a/hookpitch/core/reply_queue.py
+++ b/hookpitch/core/reply_queue.py
@@ -33,6 +33,11 @@
         """The slot whose reply is sent next."""
         return self._slots[0] if self._slots else None
 
+    @property
+    def last(self) -> ReplySlot | None:
+        """The slot of the newest command."""
+        return self._slots[-1] if self._slots else None
+
     def add(self) -> ReplySlot:
         """Add the slot of a command."""
         slot = ReplySlot()
--- a/hookpitch/core/stream.py
+++ b/hookpitch/core/stream.py
@@ -22,7 +22,9 @@
 
 
 class Source(Protocol):
-    """The connection that a streamed reply is read from."""
+    """What a streamed reply is read from, such as the backend's connection."""
+
+    is_complete: bool  # the node holds the whole reply, so that no backend can break it off
 
     def pause(self) -> None:
         """Stop reading until `resume` is called."""
--- a/hookpitch/core/streamed_replies.py
+++ b/hookpitch/core/streamed_replies.py
@@ -1,7 +1,9 @@
 """Replies that are too large to buffer: forwarded from the backend's connection as they arrive.
 
 Invariants: of the replies to an RPC's attempts, only the one that starts first is forwarded; from
-then on no deadline ends it, only a timeout without progress of its backend or its reader.
+then on no deadline ends it, only a timeout without progress of its backend or its reader. A reply
+with commands read behind it is collected first: if it broke off while it is forwarded, its client's
+connection could only be closed, and these commands would get no answer.
 """
 
 from __future__ import annotations
@@ -22,6 +24,7 @@
     """Whether a reply is forwarded as it arrives."""
 
     STARTED = "started"
+    COLLECT = "collect"  # it is forwarded once it is complete
     NOT_NEEDED = "not needed"  # no client waits for it, or another attempt's reply came first
     NO_MEMORY = "no memory"
 
@@ -38,6 +41,8 @@
         rpc = attempt.rpc
         if attempt.done or not rpc.pending or rpc.stream is not None:
             return StreamStart.NOT_NEEDED
+        if not source.is_complete and rpc.client.has_commands_behind(rpc.slot):
+            return StreamStart.COLLECT
         if not rpc.client.reserve_stream_memory():
             return StreamStart.NO_MEMORY
         host.counters.add("streams")
--- a/hookpitch/net/backend_connection.py
+++ b/hookpitch/net/backend_connection.py
@@ -16,6 +16,7 @@
 
 from hookpitch.balancer.deployment import parse_load_report
 from hookpitch.balancer.interface import Outcome, Report
+from hookpitch.core.collected_body import CollectedBody
 from hookpitch.core.host import NO_REPORT
 from hookpitch.core.memory_budget import MemoryUse
 from hookpitch.core.resp import NEED_DATA, ErrorReply, Parser, ProtocolError, Value, command
@@ -27,7 +28,7 @@
     BufferedProtocol,
     allocated_bytes,
 )
-from hookpitch.net.stored_reply import OUTCOMES_WITHOUT_STREAM
+from hookpitch.net.stored_reply import OUTCOMES_WITHOUT_STREAM, StoredReply
 
 if TYPE_CHECKING:
     from hookpitch.net.backend_pool import BackendPool
@@ -36,6 +37,8 @@
 class BackendConnection(BufferedProtocol):
     """One connection to a backend; subclasses encode a request and read its response."""
 
+    is_complete = False  # as the source of a stream (core.stream.Source)
+
     def __init__(self, pool: BackendPool) -> None:
         super().__init__()
         self.pool = pool
@@ -43,6 +46,7 @@
         self.clock = pool.clock
         self.number = -1  # the connection's slot in the host's connection table
         self.attempt: Attempt | None = None
+        self.body = CollectedBody(self.host.value_budget)  # of a value that is collected first
         self._input_memory = MemoryUse(self.host.reply_budget)
         self.pool_generation = pool.generation
         self.idle_since = 0.0
@@ -107,18 +111,39 @@
         if self.paused and not self.is_lost:
             self.resumeProducing()
 
-    def start_stream(self, length: int) -> bool:
-        """Begin to forward a value in chunks; return False where no client waits for the value."""
+    def start_stream(self, length: int) -> StreamStart:
+        """Begin to forward a value in chunks, or to collect it first.
+
+        Otherwise the attempt has ended when this returns.
+        """
         attempt = self.attempt
         if attempt is None:
             self.fail_malformed("unsolicited response")
-            return False
+            return StreamStart.NOT_NEEDED
         start = self.host.stream_started(self.clock.now(), attempt, length, self)
-        if start is StreamStart.STARTED:
+        if start in OUTCOMES_WITHOUT_STREAM:
+            self.finish(OUTCOMES_WITHOUT_STREAM[start], reuse=False)
+        return start
+
+    def collect(self, data: bytes) -> bool:
+        """Keep a part of a value; return False where there is no memory and the attempt ends."""
+        if self.body.append(data):
             return True
-        self.finish(OUTCOMES_WITHOUT_STREAM[start], reuse=False)
+        self.body.discard()  # at once: the bodies beside it need the memory
+        self.finish(Outcome.NO_MEMORY, reuse=False)
         return False
 
+    def forward_collected(self, load: str, reuse: bool) -> None:
+        """Hand the collected value over, so that the connection is free while the client reads."""
+        body = self.body
+        self.body = CollectedBody(self.host.value_budget)
+        attempt = self._detach_attempt(reuse)
+        if attempt is None:
+            body.discard()
+            return
+        report = self._parse_report(load)
+        StoredReply(self.host, self.clock, attempt, body, report).start()
+
     # ---- the end of an attempt
 
     def finish(
@@ -179,6 +204,7 @@
         if attempt is not None:
             self._end_interrupted_attempt(attempt)
         self.release_buffers()
+        self.body.discard()
         self._input_memory.set(0)
 
     def _end_interrupted_attempt(self, attempt: Attempt) -> None:
@@ -200,7 +226,8 @@
     def __init__(self, pool: BackendPool) -> None:
         super().__init__(pool)
         self.parser = Parser(self.input_buffer, max_value_bytes=MAX_STREAMED_BYTES)
-        self.is_streaming = False  # the response's value is being forwarded in chunks
+        # How the response's value is passed on while it arrives in chunks; None before its start.
+        self._value_start: StreamStart | None = None
 
     def encode_request(self, attempt: Attempt) -> Sequence[bytes]:
         """Return the command; a large value follows it in the chunks in which it was received."""
@@ -216,13 +243,14 @@
     def rawDataReceived(self, data: bytes) -> None:
         """Store the received bytes; a large value bypasses the ring buffer."""
         attempt = self.attempt
-        bypasses_ring = self.is_streaming and not len(self.input_buffer) and not self.paused
-        if bypasses_ring and attempt is not None:
+        has_begun = self._value_start is not None
+        if has_begun and attempt is not None and not len(self.input_buffer) and not self.paused:
             remaining = self.parser.body_remaining
             part = data if len(data) <= remaining else data[:remaining]
             self.parser.body_remaining -= len(part)
-            self.host.stream_chunk(self.clock.now(), attempt, part)
             data = data[len(part) :]
+            if part and not self._value_part_received(attempt, part):
+                return
             if not data:
                 return
         super().rawDataReceived(data)
@@ -237,26 +265,39 @@
                 self.fail_malformed(str(error))
                 return
             if reply is not NEED_DATA:
-                self.is_streaming = False
+                self._value_start = None
                 # Bytes after a response would be taken for the response to the next RPC, so the
                 # connection is not reused; the response itself is valid.
                 self._handle_reply(reply, self.attempt is not None and self.parser.at_boundary)
                 return
             if not self.parser.body_remaining:
                 return
-            if not self.is_streaming and not self.start_stream(self.parser.body_remaining):
-                return
-            self.is_streaming = True
+            if self._value_start is None:
+                start = self.start_stream(self.parser.body_remaining)
+                if start in OUTCOMES_WITHOUT_STREAM:
+                    return
+                self._value_start = start
             if self.paused or not len(self.input_buffer):
                 return
             part = self.parser.read_body(WRITE_CHUNK_BYTES)
-            self.host.stream_chunk(self.clock.now(), self.attempt, part)
+            if not self._value_part_received(self.attempt, part):
+                return
+
+    def _value_part_received(self, attempt: Attempt, part: bytes) -> bool:
+        """Pass on or keep a part of a large value; return False where the attempt has ended."""
+        if self._value_start is StreamStart.COLLECT:
+            return self.collect(part)
+        self.host.stream_chunk(self.clock.now(), attempt, part)
+        return True
 
     def _handle_reply(self, reply: Value, reuse: bool) -> None:
         if isinstance(reply, list) and len(reply) == 3:
             value, _, report_word = reply
             if value is None or type(value) is bytes:
                 load = report_word.decode("latin-1") if isinstance(report_word, bytes) else ""
+                if len(self.body):
+                    self.forward_collected(load, reuse)
+                    return
                 outcome = Outcome.MISS if value is None else Outcome.COMPLETED
                 self.finish(outcome, value, load, reuse)
                 return
--- a/hookpitch/net/client_commands.py
+++ b/hookpitch/net/client_commands.py
@@ -76,7 +76,9 @@
         if connection.value is not None:
             words[4] = connection.value.chunks
         now = connection.clock.now()
-        rpc = connection.host.accept(now, connection, slot, words, age_ms)
+        # A wait behind a streamed response says nothing about the load of this node.
+        load_wait_ms = 0.0 if connection.reading.was_behind_stream else age_ms
+        rpc = connection.host.accept(now, connection, slot, words, age_ms, load_wait_ms)
         if rpc is not None:
             connection.value_taken()  # the RPC owns the value now
             if rpc.pending:
--- a/hookpitch/net/client_connection.py
+++ b/hookpitch/net/client_connection.py
@@ -3,9 +3,9 @@
 State: a parser, a queue with one slot for each command's reply, the open RPCs, and the responses
 that are streamed instead of buffered. Invariants: replies are sent in the order of the commands; of
 several streamed responses only the one at the head of the queue is being sent; nothing is read
-while `is_closing`. Every command that has been read is answered before the connection is closed;
-one that is unread in the kernel makes the close a reset, after which the client sends it again. Its
-deadlines run while it is unread.
+while `is_closing`, nor behind a streamed response that may yet break off. Every command that has
+been read is answered before the connection is closed; one that is unread in the kernel makes the
+close a reset, after which the client sends it again. Its deadlines run while it is unread.
 """
 
 from __future__ import annotations
@@ -165,7 +165,7 @@
         self._is_parsing = True
         count = 0
         try:
-            age_ms = max(self.unread_age_ms(), self.clock.now() - self.last_byte_at)
+            age_ms = self.reading.command_age_ms()
             self.reading.check_client(age_ms)
             count = self._run_commands(limit, age_ms)
         finally:
@@ -241,6 +241,7 @@
             slot.answer = answer  # the rest of the stream
             self.registry.active_streams -= 1
             self.current_stream = None
+            self.reading.update()
         if not self.is_lost:
             self._send_replies()
 
@@ -285,10 +286,20 @@
         self._has_stream_memory = self._output_memory.try_set(count)
         return self._has_stream_memory
 
+    def has_commands_behind(self, slot: ReplySlot) -> bool:
+        """Return whether a command, or a part of one, was read after the command of a slot."""
+        return self.pending_replies.last is not slot or not self.parser.at_boundary
+
+    @property
+    def has_breakable_stream(self) -> bool:
+        """Whether a response is streamed that its backend may break off."""
+        return any(not stream.source.is_complete for stream in self.streams.values())
+
     def stream_started(self, slot: ReplySlot, stream: Stream) -> None:
         """Register a stream: the response to the RPC of a slot has begun to arrive in chunks."""
         self.streams[slot] = stream
         self.registry.active_streams += 1
+        self.reading.update()
         if self.is_lost or self.pending_replies.first is not slot:
             stream.source.pause()  # replies to earlier commands are sent first
         else:
@@ -303,6 +314,7 @@
         """Send the next chunk of the current stream."""
         self.send(data)
         self._account_output()
+        self.reading.check_unread()
         # Without the pause, a backend that is faster than the client would fill this buffer with
         # the whole value.
         buffered = len(self.output_buffer)
@@ -335,6 +347,7 @@
             self.current_stream = None
             self.stop_reading()
             self.pending_replies.clear()
+        self.reading.update()
         if not self.is_lost:
             self._send_replies()
 
@@ -355,8 +368,8 @@
         return self.reading.has_backlog or self.reading.is_throttled
 
     def read_now(self) -> None:
-        """Read what is unread, unless nothing more is read."""
-        if not self.is_closing:
+        """Read what is unread, unless it has to stay unread behind a streamed response."""
+        if not self.is_closing and not self.has_breakable_stream:
             super().read_now()
 
     def update_eviction_order(self) -> None:
--- a/hookpitch/net/origin.py
+++ b/hookpitch/net/origin.py
@@ -1,8 +1,9 @@
 """Connections to the origin: HTTP/1.1 with h11, one attempt at a time on each connection.
 
 State: the h11 connection, and the status, headers and body of the response. A value of more than
-`MAX_BULK_BYTES` bytes with a Content-Length is streamed as it arrives. A value without one is
-collected under the budget of large values first. The body of any other response is dropped.
+`MAX_BULK_BYTES` bytes with a Content-Length is streamed as it arrives. A value without one, or with
+commands of its client read behind it, is collected under the budget of large values first. The body
+of any other response is dropped.
 """
 
 from __future__ import annotations
@@ -17,13 +18,13 @@
 from twisted.python.failure import Failure
 
 from hookpitch.balancer.interface import Outcome
-from hookpitch.core.collected_body import CollectedBody
 from hookpitch.core.resp import MAX_BULK_BYTES
 from hookpitch.core.rpc import Attempt
 from hookpitch.core.stream import MAX_STREAMED_BYTES, ChunkedValue
+from hookpitch.core.streamed_replies import StreamStart
 from hookpitch.net.backend_connection import BackendConnection
 from hookpitch.net.backend_pool import BackendPool
-from hookpitch.net.stored_reply import StoredReply
+from hookpitch.net.stored_reply import OUTCOMES_WITHOUT_STREAM
 
 BODY_TOO_LONG = "response body exceeds the limit for streamed values"
 
@@ -34,7 +35,6 @@
     def __init__(self, pool: BackendPool) -> None:
         super().__init__(pool)
         self.http = h11.Connection(h11.CLIENT)
-        self.body = CollectedBody(self.host.value_budget)
         self._reset_response()
 
     def _reset_response(self) -> None:
@@ -124,8 +124,9 @@
             self.fail_malformed(BODY_TOO_LONG)
             return False
         if size > MAX_BULK_BYTES:
-            self.is_streaming = self.start_stream(size)
-            return self.is_streaming
+            start = self.start_stream(size)
+            self.is_streaming = start is StreamStart.STARTED
+            return start not in OUTCOMES_WITHOUT_STREAM
         return True
 
     def _handle_data(self, data: bytes) -> bool:
@@ -137,11 +138,7 @@
         if self.body_length > MAX_STREAMED_BYTES:
             self.fail_malformed(BODY_TOO_LONG)
             return False
-        if self.status == 200 and not self.body.append(data):
-            self.body.discard()  # at once: the bodies beside it need the memory
-            self.finish(Outcome.NO_MEMORY, reuse=False)
-            return False
-        return True
+        return self.status != 200 or self.collect(data)
 
     def _handle_end(self) -> None:
         is_complete = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
@@ -151,7 +148,7 @@
             self.http.start_next_cycle()
         load = self.headers.get(b"x-load", b"").decode("latin-1")
         if len(self.body) > MAX_BULK_BYTES:
-            self._forward_stored_reply(load, reuse)
+            self.forward_collected(load, reuse)
             return
         value = self.body.to_bytes() if self.status == 200 else None
         self.body.discard()
@@ -163,14 +160,3 @@
         if self.status in (503, 504) and self.headers.get(b"x-not-run") == b"1":
             return Outcome.OVERLOADED
         return Outcome.ERROR
-
-    def _forward_stored_reply(self, load: str, reuse: bool) -> None:
-        """Hand the collected body over, so that the connection is free while the client reads."""
-        body = self.body
-        self.body = CollectedBody(self.host.value_budget)
-        attempt = self._detach_attempt(reuse)
-        if attempt is None:
-            body.discard()
-            return
-        report = self._parse_report(load)
-        StoredReply(self.host, self.clock, attempt, body, report).start()
--- a/hookpitch/net/read_control.py
+++ b/hookpitch/net/read_control.py
@@ -2,7 +2,9 @@
 
 Nothing is read while commands that were read are left for later turns of the event loop, or while
 too many commands wait for replies or too many replies are unread: a client that sends faster than
-its commands run, or that does not read, then waits in the kernel and takes no memory here.
+its commands run, or that does not read, then waits in the kernel and takes no memory here. Nor is
+anything read while a response is streamed that may break off: such a connection can only be closed,
+and commands that were read behind the response would get no answer.
 """
 
 from __future__ import annotations
@@ -28,6 +30,7 @@
     __slots__ = (
         "_behind_since",
         "_connection",
+        "_unread_since",
         "client_has_left",
         "has_backlog",
         "is_end_hidden",
@@ -41,6 +44,8 @@
         self.client_has_left = False  # the client had stopped sending when its commands were read
         self.is_end_hidden = False  # the client may have left, which unread bytes hide
         self._behind_since: float | None = None  # when commands were first left in the kernel
+        # Behind a streamed response: when the kernel was last seen to hold nothing unread.
+        self._unread_since: float | None = None
 
     def release(self) -> None:
         """Drop the connection, which has ended: a cycle would exist until it is collected."""
@@ -50,6 +55,26 @@
 
     # ---- commands that come too late
 
+    def command_age_ms(self) -> float:
+        """Return for how long the commands read next may have waited to be read."""
+        connection = self._connection
+        now = connection.clock.now()
+        age_ms = max(connection.unread_age_ms(), now - connection.last_byte_at)
+        if self._unread_since is not None:
+            age_ms = max(age_ms, now - self._unread_since)
+        return age_ms
+
+    @property
+    def was_behind_stream(self) -> bool:
+        """Whether the commands read next may have waited behind a streamed response."""
+        return self._unread_since is not None
+
+    def check_unread(self) -> None:
+        """Note, while a streamed response keeps commands unread, that none has come so far."""
+        connection = self._connection
+        if self._unread_since is not None and not connection.has_kernel_bytes():
+            self._unread_since = connection.clock.now()
+
     def check_client(self, age_ms: float) -> None:
         """Find out whether the RPCs read next, which came `age_ms` ago, are forwarded for nobody.
 
@@ -81,8 +106,10 @@
         """Read on, as all commands that were read have been run."""
         if self._connection is None:
             return
-        if self._behind_since is not None and not self._connection.has_kernel_bytes():
+        is_behind = self._behind_since is not None or self._unread_since is not None
+        if is_behind and not self._connection.has_kernel_bytes():
             self._behind_since = None
+            self._unread_since = None
         if self.has_backlog:
             self._leave_backlog()
             self.update()
@@ -146,7 +173,10 @@
         connection = self._connection
         if connection is None or connection.is_lost or connection.is_closing:
             return
-        is_paused = self.is_throttled or self.has_backlog
+        is_behind_stream = connection.has_breakable_stream
+        if is_behind_stream and self._unread_since is None:
+            self._unread_since = connection.clock.now()
+        is_paused = self.is_throttled or self.has_backlog or is_behind_stream
         if is_paused and not connection.paused:
             connection.pauseProducing()
         elif not is_paused and connection.paused:
--- a/hookpitch/net/stored_reply.py
+++ b/hookpitch/net/stored_reply.py
@@ -23,6 +23,8 @@
 class StoredReply:
     """The complete reply to one attempt (core.stream.Source)."""
 
+    is_complete = True
+
     def __init__(
         self, host: Host, clock: Clock, attempt: Attempt, body: CollectedBody, report: Report
     ) -> None:
