Send large writes to caches: each of them failed in the node

What callers saw: where caches take the writes (no origin beside them), each write over 4 KiB was answered with -BUSY or -ERR after three attempts, each of which had sent its head alone; "Unhandled Error" in the log.

Cause: the chunks of a large value are bytearrays, which Twisted's transport refuses to join with bytes. Towards the origin h11 turns them into bytes first, and the tests' own network took both.

Change: a chunk is copied into bytes when its turn to be written comes, one at a time.

--- a/hookpitch/net/buffered_protocol.py
+++ b/hookpitch/net/buffered_protocol.py
@@ -65,7 +65,7 @@
         self.output_buffer = Ring()
         self.write_pending = False  # a producer is registered: output waits for the transport
         self.is_reading = False  # received bytes are being handled further up the call stack
-        self._chunks: list[bytes] = []  # large chunks, sent without a copy after the output buffer
+        self._chunks: list[bytes | bytearray] = []  # large, sent one by one after the output buffer
         self._plain_transport: Any = None  # the transport, where its socket may be used directly
 
     def connectionMade(self) -> None:
@@ -183,8 +183,8 @@
         if not self.write_pending:
             self._start_writing()
 
-    def send_chunks(self, chunks: Iterable[bytes]) -> None:
-        """Send large chunks without a copy; `send` must not be called until they are written.
+    def send_chunks(self, chunks: Iterable[bytes | bytearray]) -> None:
+        """Send large chunks, one copy at a time; `send` must not be called until they are written.
 
         The output buffer is written first, so later bytes in the buffer would overtake the chunks.
         """
@@ -206,7 +206,7 @@
         if len(self.output_buffer):
             self._write_output()
         elif self._chunks:
-            self.transport.write(self._chunks.pop(0))
+            self.transport.write(bytes(self._chunks.pop(0)))  # Twisted accepts no bytearray
         elif self.write_pending:
             self._finish_writing()
 
--- a/tests/test_crossings_servers.py
+++ b/tests/test_crossings_servers.py
@@ -321,3 +321,17 @@
                 origin.sock.recv(4096)
             assert time.monotonic() - written_at < 0.95
         assert client.receive_line().startswith(b"-")
+
+
+def test_a_large_write_reaches_a_cache_whole(tmp_path: Path) -> None:
+    # Guards against writes over 4 KiB that fail wherever the caches take the writes.
+    value = bytes(range(256)) * 2000
+    with NodeProcess(tmp_path, 1, methods=METHODS, family_info={}) as node:
+        client = node.connect_client()
+        client.send(command(b"OBJ.SET", b"k", b"w1", b"c=read,d=900", value))
+        connection = node.caches[0].accept()
+        while connection.receive_line() != b"$%d\r\n" % len(value):
+            pass
+        assert connection.receive_bytes(len(value) + 2) == value + b"\r\n"
+        connection.send(VALUE)
+        assert client.receive_value() == b"v"
