Let no byte of a request arrive after its window, its answer or its end

Cause: the window was a condition for the start of an attempt and for nothing after it. Bytes in the node, in its kernel or in the buffer of a server that hangs arrived when the server went on. Likewise after the final answer of another attempt, and after a client's reset, where cancelling is off; and after an early answer, whose connection even went back to its pool.

An RPC that is answered ends the attempts that are not delivered, cancelling or not (`Host.cancel_attempts`); the kernel is asked whether they are. A connection is used again only if its large request was.

CPU an RPC and the share of RPCs that the window's end gives up: not measured here.

--- a/hookpitch/balancer/retries.py
+++ b/hookpitch/balancer/retries.py
@@ -2,8 +2,8 @@
 
 State: the deployment's limits on attempts, hedging and cancellation. Invariants: a non-idempotent
 RPC that may have run is never sent again; an RPC with an idempotency key is sent again only to
-backends that drop its repeats, and only within their deduplication window. Times are in
-milliseconds; attempts keep a distance of `margin_ms` from every deadline.
+backends that drop its repeats, and all its attempts end within their deduplication window. Times
+are in milliseconds; attempts keep a distance of `margin_ms` from every deadline.
 """
 
 from __future__ import annotations
@@ -58,6 +58,11 @@
                 return attempt.sent_at + rpc.method.dedup_window_ms - self.margin_ms
         return FOREVER
 
+    def repeat_deadline(self, rpc: Rpc) -> float:
+        """Return the time by which all attempts have to be over, lest one runs as a repeat."""
+        candidates = [attempt for attempt in rpc.attempts if attempt.may_have_run]
+        return self.retry_deadline(rpc) if len(candidates) > 1 else FOREVER
+
     def may_attempt(self, rpc: Rpc, backend: Backend, now: float) -> bool:
         """Return whether constraints and idempotency allow sending an RPC to a backend."""
         method = rpc.method
--- a/hookpitch/balancer/router.py
+++ b/hookpitch/balancer/router.py
@@ -267,6 +267,11 @@
         self.now = now
         self.local_delay.stalled_at = now
 
+    def repeat_deadline(self, id: str) -> float:
+        """Return the time by which the host has to end all attempts of an RPC."""
+        rpc = self.rpcs.get(id)
+        return FOREVER if rpc is None else self.retries.repeat_deadline(rpc)
+
     def shed_delay(self, now: float, method_name: str, tenant: str, age_ms: float) -> float:
         """Return the ms after which a client may retry an RPC; below 0 if the RPC is admitted."""
         self.now = now
--- a/hookpitch/core/decision_runner.py
+++ b/hookpitch/core/decision_runner.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+from hookpitch.balancer.backend import FOREVER
 from hookpitch.balancer.interface import Outcome
 from hookpitch.core.counter_names import FinalResult
 from hookpitch.core.deadlines import Deadline
@@ -96,6 +97,8 @@
             self._unsent.append(attempt)
             return
         host.timers.watch(rpc, deadline)
+        if rpc.in_flight > 1 or start_within_ms < FOREVER:
+            host.timers.limit_repeats(rpc, host.router.repeat_deadline(rpc_id))
 
     def cancel(self, rpc_id: str, attempt: int) -> None:
         """Cancel an attempt, unless its reply is still needed."""
@@ -125,6 +128,7 @@
         self._host.counters.check(rpc is not None and rpc.pending, "one final answer")
         if rpc is not None and rpc.pending:
             rpcs.answer(rpc, answer, result)
+            self._host.cancel_attempts(self._host.now, rpc)
             rpcs.release(rpc)
 
     def close_idle(self, backend_id: str) -> None:
--- a/hookpitch/core/host.py
+++ b/hookpitch/core/host.py
@@ -225,7 +225,8 @@
             self.rpcs.fail(rpc)
         self.router.client_disconnected(now, str(rpc.number))
         if not rpc.pending:
-            self._cancel_attempts(now, rpc)
+            is_wasted = self.deployment.cancellation_enabled or rpc.stream is not None
+            self.cancel_attempts(now, rpc, include_delivered=is_wasted)
         self.rpcs.release(rpc)
 
     def drop_for_nobody(self, now: float, attempt: Attempt) -> bool:
@@ -243,12 +244,14 @@
             self.attempt_finished(now, attempt, Outcome.CANCELLED)
         return True
 
-    def _cancel_attempts(self, now: float, rpc: Rpc) -> None:
-        cancel_written = self.deployment.cancellation_enabled or rpc.stream is not None
+    def cancel_attempts(self, now: float, rpc: Rpc, include_delivered: bool = False) -> None:
+        """End the attempts of an answered RPC whose backends have not received them completely.
+
+        An attempt that waits for a connection, or of which a slow backend has read a part, would
+        otherwise be sent after the final answer.
+        """
         for attempt in rpc.attempts:
-            # An attempt that still waits for a connection would otherwise be sent, although nobody
-            # waits for its reply.
-            if not attempt.done and (cancel_written or not attempt.written):
+            if not attempt.done and (include_delivered or self.transport.is_undelivered(attempt)):
                 self.transport.cancel(now, attempt)
                 self.attempt_finished(now, attempt, Outcome.CANCELLED)
 
@@ -258,6 +261,8 @@
             if rpc.pending and rpc.stream is None:
                 self.rpcs.fail(rpc)
                 self.router.client_disconnected(now, str(rpc.number))
+                # The kernel would go on delivering after the process has ended.
+                self.cancel_attempts(now, rpc)
 
     # ---- backends
 
@@ -298,6 +303,8 @@
         self.router.attempt_ended(
             now, str(rpc.number), attempt.index, outcome, not rpc.pending, latency_ms, report
         )
+        if rpc.in_flight and not rpc.pending:
+            self.cancel_attempts(now, rpc)
         self.rpcs.release(rpc)
         self.decide(now)
 
@@ -347,6 +354,8 @@
         )
         self.admission.set_soft_deadline(min(method.soft_ms for method in methods))
         self.router.reconfigured(now, deployment)
+        for rpc in self.rpcs.values():
+            self.timers.limit_repeats(rpc, self.router.repeat_deadline(str(rpc.number)))
         self.decide(now)
 
     def set_banned(self, now: float, backend_id: str, banned: bool) -> None:
--- a/hookpitch/core/interfaces.py
+++ b/hookpitch/core/interfaces.py
@@ -22,6 +22,9 @@
     def cancel(self, now: float, attempt: Attempt) -> None:
         """Stop an attempt; the host is not notified of its end."""
 
+    def is_undelivered(self, attempt: Attempt) -> bool:
+        """Return whether an attempt's backend has not received its whole request."""
+
     def close_idle(self, backend_id: str) -> None:
         """Close the idle connections to a backend."""
 
--- a/hookpitch/core/rpc.py
+++ b/hookpitch/core/rpc.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from hookpitch.balancer.backend import FOREVER
 from hookpitch.core.deadlines import Deadline
 from hookpitch.core.interfaces import Client
 from hookpitch.core.reply_slot import ReplySlot
@@ -83,6 +84,7 @@
         "method",
         "accepted_at",
         "hard_deadline",
+        "repeat_deadline",
         "timer",
         "attempts",
         "in_flight",
@@ -106,6 +108,8 @@
         self.number = -1  # the RPC's number in the `RpcTable`
         self.accepted_at = 0.0
         self.hard_deadline = 0.0
+        # From then on backends may have forgotten an attempt, and would run another one again.
+        self.repeat_deadline = FOREVER
         self.timer: Deadline | None = None
         self.attempts: list[Attempt] = []
         self.in_flight = 0  # number of attempts that are not done
--- a/hookpitch/net/backend_connection.py
+++ b/hookpitch/net/backend_connection.py
@@ -1,9 +1,9 @@
 """Connections to backends: the part that all kinds share, and the caches' protocol, RESP2.
 
 A connection carries at most one attempt at a time. Invariants: a connection returns to its pool
-only when the request was written completely and the response was received completely, with no bytes
-after it; every attempt that was started ends by exactly one of `finish`, `connectionLost`, or a
-cancellation by `BackendPools`.
+only when the backend has the request completely and the response was received completely, with no
+bytes after it; nothing of a request is written once its attempt has ended; every attempt that was
+started ends by exactly one of `finish`, `connectionLost`, or a cancellation by `BackendPools`.
 """
 
 from __future__ import annotations
@@ -46,6 +46,7 @@
         self.clock = pool.clock
         self.number = -1  # the connection's slot in the host's connection table
         self.attempt: Attempt | None = None
+        self._has_large_request = False  # which may exceed the buffers of both kernels
         self.body = CollectedBody(self.host.value_budget)  # of a value that is collected first
         self._input_memory = MemoryUse(self.host.reply_budget)
         self.pool_generation = pool.generation
@@ -67,6 +68,7 @@
         attempt.carrier = self
         attempt.written = True
         head, *chunks = self.encode_request(attempt)
+        self._has_large_request = bool(chunks)
         self.send(head)
         if chunks:
             self.send_chunks(chunks)
@@ -85,6 +87,13 @@
         if self.attempt is not None:
             self._request_written()
 
+    def has_undelivered_request(self) -> bool:
+        """Return whether the backend's kernel has not acknowledged the whole request.
+
+        A connection that is reset then never delivers the rest.
+        """
+        return self.has_unsent_bytes or self.has_undelivered_bytes()
+
     # ---- the memory of a response
 
     def account_input(self) -> None:
@@ -165,7 +174,9 @@
         """Free the connection of its attempt and return that; without `reuse`, reset it."""
         attempt = self.attempt
         self.attempt = None
-        if reuse and not self.has_unsent_bytes:
+        is_large = self._has_large_request
+        is_delivered = not (self.has_undelivered_request() if is_large else self.has_unsent_bytes)
+        if reuse and is_delivered:
             self.pool.release(self)
         else:
             # Without the reset, a response that never ends would stay open while the next attempt
--- a/hookpitch/net/backend_pools.py
+++ b/hookpitch/net/backend_pools.py
@@ -62,6 +62,14 @@
         if attempt.carrier is not None:
             attempt.carrier.cancel(attempt)
 
+    def is_undelivered(self, attempt: Attempt) -> bool:
+        """Return whether an attempt's backend has not received its whole request."""
+        carrier = attempt.carrier
+        if not attempt.written:
+            return True
+        is_sent = isinstance(carrier, BackendConnection) and carrier.attempt is attempt
+        return is_sent and carrier.has_undelivered_request()
+
     def read_pending_response(self, attempt: Attempt) -> bool:
         """Read the unread response of an attempt; return whether the attempt has ended."""
         carrier = attempt.carrier
--- a/hookpitch/net/buffered_protocol.py
+++ b/hookpitch/net/buffered_protocol.py
@@ -194,7 +194,12 @@
 
     @property
     def has_unsent_bytes(self) -> bool:
-        """Whether buffered output still waits for the transport."""
+        """Whether some output is not in the kernel yet.
+
+        The transport of a socket holds the last part until it asks for more.
+        """
+        if self._plain_transport is not None:
+            return self.write_pending
         return len(self.output_buffer) > 0 or len(self._chunks) > 0
 
     def resume_writing(self) -> None:
@@ -225,7 +230,7 @@
             self.output_buffer.skip(len(data))
             self.transport.write(data)  # the transport reports the cause when it writes
             return
-        if self.has_unsent_bytes:
+        if len(self.output_buffer) or self._chunks:
             plain.startWriting()
         else:
             self._finish_writing()
@@ -253,6 +258,7 @@
         self.input_buffer.skip(len(self.input_buffer))
         self.output_buffer.skip(len(self.output_buffer))
         self._chunks.clear()
+        self.write_pending = False
 
     @property
     def can_end_now(self) -> bool:
