Cut off no value at a planned restart that its cache still gives or its client reads

Cause: the process ended at the longest deadline and 0.65 s, whatever was open. By then all RPCs are answered but those whose value is being passed on. Related: a closing connection was reset 5 s after its last write, and a stream was given up after 3 s without a write, though the client's kernel went on taking what the node's kernel held.

Change: at that time the shutdown answers what it did before, and ends if no client is receiving anything; otherwise it waits for these (`graceful_shutdown_extended`), up to 60 s. Progress of a client is what its kernel acknowledges. Where the cache stands still the process ends 3 s (or the longest hard deadline) after its last byte, where the client does 5 s after what it last took.

--- a/hookpitch/core/interfaces.py
+++ b/hookpitch/core/interfaces.py
@@ -65,6 +65,9 @@
     def stream_chunk(self, slot: ReplySlot, data: bytes) -> None:
         """Send the next chunk of a streamed reply."""
 
+    def delivery_progress_at(self) -> float:
+        """Return when the client last received something while output waits for it; 0 otherwise."""
+
     def stream_aborted(self, slot: ReplySlot) -> None:
         """End a streamed reply that cannot be completed."""
 
--- a/hookpitch/core/rpc_timers.py
+++ b/hookpitch/core/rpc_timers.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from hookpitch.core.host import Host
 
+STREAM_CHECK_INTERVAL_MS = 500.0
+
 
 class RpcTimers:
     """The RPC timers of one host."""
@@ -62,9 +64,11 @@
     def _check_stream(self, now: float, rpc: Rpc) -> None:
         """End a stream without progress: its backend or its reader may have disconnected."""
         host = self._host
-        times_out_at = rpc.stream.last_progress + host.stream_timeout_ms
-        if now - rpc.stream.last_progress < host.stream_timeout_ms:
-            self.watch(rpc, times_out_at)
+        # A reader that is slow takes nothing from the node for seconds while its kernel does.
+        last_progress = max(rpc.stream.last_progress, rpc.client.delivery_progress_at())
+        times_out_at = last_progress + host.stream_timeout_ms
+        if now < times_out_at:
+            self.watch(rpc, min(times_out_at, now + STREAM_CHECK_INTERVAL_MS))
             return
         host.counters.add("streams.silent")
         host.transport.cancel(now, rpc.streaming_attempt)
--- a/hookpitch/core/streamed_replies.py
+++ b/hookpitch/core/streamed_replies.py
@@ -14,6 +14,7 @@
 from hookpitch.balancer.interface import Outcome
 from hookpitch.core.counter_names import FinalResult
 from hookpitch.core.rpc import Attempt, Rpc
+from hookpitch.core.rpc_timers import STREAM_CHECK_INTERVAL_MS
 from hookpitch.core.stream import Source, Stream
 
 if TYPE_CHECKING:
@@ -51,7 +52,7 @@
         host.router.stream_started(now, str(rpc.number), attempt.index)
         # The deadlines apply to the first bytes. From now on only lack of progress ends the reply.
         host.deadlines.cancel(rpc.timer)
-        host.timers.watch(rpc, now + host.stream_timeout_ms)
+        host.timers.watch(rpc, now + STREAM_CHECK_INTERVAL_MS)
         rpc.client.stream_started(rpc.slot, rpc.stream)
         host.decide(now)  # so that a hedged attempt is cancelled at once
         return StreamStart.STARTED
--- a/hookpitch/net/buffered_protocol.py
+++ b/hookpitch/net/buffered_protocol.py
@@ -27,6 +27,7 @@
 TCP_INFO_BYTES = 148
 UNACKNOWLEDGED_OFFSET = 24  # tcpi_unacked: segments that are sent and not acknowledged
 LAST_DATA_RECEIVED_OFFSET = 52  # tcpi_last_data_recv, in ms
+BYTES_ACKNOWLEDGED_OFFSET = 120  # tcpi_bytes_acked, of 64 bits
 NOT_SENT_OFFSET = 144  # tcpi_notsent_bytes: bytes that the peer has no room for yet
 FIN_UNACKNOWLEDGED_STATES = (4, 9, 11)  # FIN_WAIT1, LAST_ACK, CLOSING
 PEER_ENDED_STATES = (6, 7, 8, 9, 11)  # TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
@@ -121,6 +122,12 @@
             or _tcp_info_field(info, NOT_SENT_OFFSET)
         )
 
+    def acknowledged_bytes(self) -> int:
+        """Return how many bytes the peer's kernel has acknowledged so far; 0 where unknown."""
+        info = self._tcp_info()
+        offset = BYTES_ACKNOWLEDGED_OFFSET
+        return unpack_from("Q", info, offset)[0] if len(info) >= offset + 8 else 0
+
     def peer_has_closed(self) -> bool:
         """Return whether the peer has closed its sending side or reset the connection.
 
--- a/hookpitch/net/client_connection.py
+++ b/hookpitch/net/client_connection.py
@@ -75,6 +75,7 @@
         self.active_at = 0.0  # time of the connect, the last reply or a command's first byte
         self.last_byte_at = 0.0
         self.write_progress_at = 0.0  # when the client last took a part of its unread replies
+        self._acknowledged_bytes = 0  # as last seen
 
     def _new_parser(self) -> Parser:
         return Parser(self.input_buffer, commands_only=True, max_value_bytes=MAX_STREAMED_BYTES)
@@ -102,6 +103,23 @@
         """Whether replies that the client has not read take memory here."""
         return self._output_memory.held > 0
 
+    @property
+    def is_delivering(self) -> bool:
+        """Whether the client has not received a response completely that has begun."""
+        return bool(self.streams) or self.has_unsent_bytes or self.has_undelivered_bytes()
+
+    def check_delivery(self) -> None:
+        """Record progress if the client's kernel has taken something since the last check."""
+        count = self.acknowledged_bytes()
+        if count != self._acknowledged_bytes:
+            self._acknowledged_bytes = count
+            self.write_progress_at = self.clock.now()
+
+    def delivery_progress_at(self) -> float:
+        """Return when the client last received something while output waits for it; 0 otherwise."""
+        self.check_delivery()
+        return self.write_progress_at if self.has_unsent_bytes else 0.0
+
     @property
     def is_between_commands(self) -> bool:
         """Whether a complete command has arrived, and no part of another one since."""
--- a/hookpitch/net/client_registry.py
+++ b/hookpitch/net/client_registry.py
@@ -28,7 +28,8 @@
 MIN_IDLE_MS = 2000.0  # an idle connection stays open for at least this time
 MIN_IDLE_DRAINING_MS = 1000.0  # the same in a drain, also for a connection that has sent nothing
 OVER_LIMIT_MS = 100.0  # time for a connection over the limit to send a command and be answered
-LAST_REPLY_MS = 5000.0  # timeout for the client of a closing connection to read its replies
+# Without progress for so long, the client of a closing connection no longer reads its replies.
+LAST_REPLY_MS = 5000.0
 MIN_SILENCE_MS = 250.0  # silence after which a connection without a complete command is evictable
 # While less of the memory of unread replies is available, clients that read nothing are cut off.
 MIN_AVAILABLE_FRACTION = 0.25
@@ -75,6 +76,8 @@
         self.reports_draining = False  # PING is answered with an error
         self.fails_new_requests = False  # a shutdown leaves no time to forward RPCs
         self.on_all_closed: Callable[[], None] | None = None
+        self._delivering: set[ClientConnection] = set()  # those that a shutdown waits for
+        self._on_delivered: Callable[[], None] | None = None
         clock.deadlines.add(clock.now() + SWEEP_INTERVAL_MS, self.sweep)
 
     def buildProtocol(self, addr: Any) -> ClientConnection:  # noqa: ANN401 - Twisted's address types
@@ -107,6 +110,7 @@
     def connection_lost(self, client: ClientConnection) -> None:
         """Remove a connection; its RPCs are dropped before `check_all_closed` is called."""
         self.connections.pop(client, None)
+        self._delivering.discard(client)
         self.remove_eviction_candidate(client)
 
     def mark_active(self, client: ClientConnection) -> None:
@@ -216,13 +220,20 @@
     def sweep(self, now: float) -> None:
         """Close connections that have been silent too long, and schedule the next sweep."""
         self.clock.deadlines.add(now + SWEEP_INTERVAL_MS, self.sweep)
+        self._delivering = {
+            client for client in self._delivering if client.is_closing or client.is_delivering
+        }
+        self._check_delivered()
         count = len(self.connections)
         min_idle_ms = MIN_IDLE_DRAINING_MS if self.is_draining else MIN_IDLE_MS
         for client in list(self.connections):
             if client.active_at > now - min_idle_ms:
                 break
+            if client.is_closing or client.holds_unread_replies:
+                client.check_delivery()
             is_unread = client.is_closing and not client.pending_replies
-            if is_unread and client.active_at < now - LAST_REPLY_MS:
+            progress_at = max(client.active_at, client.write_progress_at)
+            if is_unread and progress_at < now - LAST_REPLY_MS:
                 # A regular close would wait for a client that does not read.
                 client.transport.abortConnection()
             if self._holds_memory_for_nothing(client, now):
@@ -294,15 +305,36 @@
                 client.advance()
 
     def close_all(self) -> None:
-        """Close all connections at the end of a shutdown, except those with a partial command."""
+        """Close all connections at the end of a shutdown, as soon as all replies are delivered.
+
+        Those with a partial command stay open.
+        """
         self.fails_new_requests = True  # RPCs that become complete from now on fail at once
         for client in list(self.connections):
             client.run_commands_left()
             if client.pending_replies or client.parser.at_boundary:
                 client.close_when_answered()
 
+    def wait_for_deliveries(self, on_delivered: Callable[[], None]) -> int:
+        """Call `on_delivered` once each client has the response that it is receiving now.
+
+        Returns the number of these clients; the call may come before that.
+        """
+        self._delivering = {client for client in self.connections if client.is_delivering}
+        self._on_delivered = on_delivered
+        count = len(self._delivering)
+        self._check_delivered()
+        return count
+
+    def _check_delivered(self) -> None:
+        if self._on_delivered is not None and not self._delivering:
+            on_delivered = self._on_delivered
+            self._on_delivered = None
+            on_delivered()
+
     def check_all_closed(self) -> None:
-        """Call `on_all_closed` in a shutdown once the last connection has closed."""
+        """Tell a shutdown that the last connection, or the last that it waits for, has closed."""
+        self._check_delivered()
         if self.on_all_closed is not None and not self.connections:
             on_all_closed = self.on_all_closed
             self.on_all_closed = None
--- a/hookpitch/net/lifecycle.py
+++ b/hookpitch/net/lifecycle.py
@@ -4,8 +4,10 @@
 `SHUTDOWN_DELAY_MS`, so that clients see the failing health check first. The process then stops
 listening, answers the RPCs it has read, and stops the reactor. A process with an inherited
 listening socket stops accepting at once, as another process accepts from the same socket.
-Invariants: the state only advances; the shutdown ends within the longest deadline of an RPC plus
-fixed delays, whatever clients do.
+Invariants: the state only advances; every RPC has its answer within its longest deadline plus fixed
+delays. The process then ends, or waits for large responses that backends still give and clients
+still receive: until these are complete, have made no progress for the timeout of a stream and
+`LAST_REPLY_MS`, or `MAX_DELIVERY_MS` are over.
 """
 
 from __future__ import annotations
@@ -38,6 +40,8 @@
 # Part of FINAL_RESPONSE_MS for the last responses to be delivered: when the process ends, the
 # kernel resets connections that have unread bytes.
 FINAL_DELIVERY_MS = 40.0
+# How long responses that make progress may keep a process that has answered everything else.
+MAX_DELIVERY_MS = 60_000.0
 FINAL_SNAPSHOT_MS = 100.0  # time for writing the last snapshot
 
 
@@ -92,7 +96,7 @@
         self.state = State.STARTING
         self.listening_port: Any = None  # the port to which clients connect
         self._admin_port: Any = None
-        self._has_begun_final_snapshot = False
+        self._is_ending = False
 
     # ---- start
 
@@ -187,7 +191,8 @@
         deadlines = node.clock.deadlines
         deadlines.add(stop_listening_at, lambda _: self._stop_listening())
         deadlines.add(end_at - FINAL_DELIVERY_MS, lambda _: self._fail_open_rpcs())
-        deadlines.add(end_at, lambda _: self._end())
+        deadlines.add(end_at, lambda _: self._end_when_delivered())
+        deadlines.add(end_at + MAX_DELIVERY_MS, lambda _: self._end())
 
     def _stop_listening(self) -> None:
         if self._node.config.inherited_descriptor is None:
@@ -213,17 +218,29 @@
         self._node.host.fail_all(self._node.clock.now())
         self._node.clients.close_all()
 
+    def _end_when_delivered(self) -> None:
+        """End as soon as no client is receiving a response any more."""
+        count = self._node.clients.wait_for_deliveries(self._end)
+        if count:
+            self._node.logger.info("graceful_shutdown_extended", responses=count)
+
     def _end(self) -> None:
+        if self._is_ending:
+            return
+        self._is_ending = True
         node = self._node
         store = node.snapshot_store
-        if store is not None and not self._has_begun_final_snapshot:
-            # The last snapshot holds what the node has learned since the previous one. A disk that
-            # stalls must not delay the end of the process for long.
-            self._has_begun_final_snapshot = True
-            store.save()
-            wait_ms = FINAL_SNAPSHOT_MS if store.is_writing else 0.0
-            node.clock.deadlines.add(node.clock.now() + wait_ms, lambda _: self._end())
+        if store is None:
+            self._stop()
             return
+        # The last snapshot holds what the node has learned since the previous one. A disk that
+        # stalls must not delay the end of the process for long.
+        store.save()
+        wait_ms = FINAL_SNAPSHOT_MS if store.is_writing else 0.0
+        node.clock.deadlines.add(node.clock.now() + wait_ms, lambda _: self._stop())
+
+    def _stop(self) -> None:
+        node = self._node
         node.hot_restart.stop()
         if node.reactor.running:
             node.reactor.stop()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -212,9 +212,15 @@
         }
         self.write_configuration()
         self.environment = {"PROXY_CONFIG": str(self.path)}
+        self.inherited: socket.socket | None = None  # a listening socket, handed to the process
         self.clients: list[PeerConnection] = []
         self._log_changed = threading.Condition()
 
+    def inherit_listener(self) -> None:
+        """Have the process accept clients from a socket that it inherits, as in a hot restart."""
+        self.inherited = socket.create_server(("127.0.0.1", self.port), backlog=64)
+        self.environment["PROXY_INHERITED_FD"] = str(self.inherited.fileno())
+
     def write_configuration(self) -> None:
         """Replace the configuration file atomically."""
         new_path = self.path.with_suffix(".new")
@@ -228,6 +234,7 @@
             text=True,
             env=self.environment,
             stderr=subprocess.PIPE,
+            pass_fds=() if self.inherited is None else (self.inherited.fileno(),),
         )
         threading.Thread(target=self._read_logs, daemon=True).start()
         self.wait_for_log("serving")
@@ -268,6 +275,8 @@
             client.close()
         for peer in (*self.caches, self.origin, self.discovery):
             peer.close()
+        if self.inherited is not None:
+            self.inherited.close()
 
     # ---- the node's process
 
