Answer each of several unsound commands that follow one another

What callers saw: of two unsound commands in a row, the second got no answer; a client that counts answers takes one too few.

Cause: after malformed input the search for the next command wanted a word's length in plain digits.

Change: a sign and nine digits are taken too, so that the parser itself answers such a command.

--- a/hookpitch/core/resp.py
+++ b/hookpitch/core/resp.py
@@ -31,7 +31,8 @@
 # The index in the outermost array at which a value longer than `MAX_BULK_BYTES` is allowed.
 COMMAND_VALUE_INDEX = 4  # OBJ.SET key id extras VALUE
 REPLY_VALUE_INDEX = 0
-COMMAND_START = re.compile(rb"\*\d{1,2}\r\n\$\d{1,7}\r\n")  # a plausible command's two headers
+# The headers of a command and of its first word, of which the second may be malformed again.
+COMMAND_START = re.compile(rb"\*\d{1,2}\r\n\$-?\d{1,9}\r\n")
 DOLLAR = ord("$")
 ZERO = ord("0")
 
--- a/tests/test_ended_connections.py
+++ b/tests/test_ended_connections.py
@@ -75,6 +75,21 @@
         assert answers[2:] == [BUSY] * 2
 
 
+def test_each_of_several_unsound_commands_is_answered(tmp_path: Path) -> None:
+    # Guards against answers that are one too few for the commands of a pipeline.
+    with start_node(tmp_path) as node:
+        client = node.connect_client()
+        null_word = UNSOUND["a null word"]
+        client.send(PING + null_word * 2 + get_command("r1", wait=5000) + null_word + PING)
+        answers, _ = receive_all_answers(client)
+        assert [type(answer) for answer in answers] == [
+            SimpleString,
+            *[ErrorReply] * 4,
+            SimpleString,
+        ]
+        assert answers[3] == BUSY
+
+
 @pytest.mark.parametrize("last", [QUIT, UNSOUND["a null word"]], ids=["QUIT", "unsound"])
 def test_commands_that_come_while_a_closing_connection_waits_stay_unread(
     tmp_path: Path, last: bytes
