Split streams and TCP_INFO out of the connections; cut a large value in one place

No change of behaviour.

Failed on the way: a stream that was paused and resumed at its start; to resume a LineReceiver passes it empty data, so the connection read on inside its own reading (24 of 74 tests failed).

--- a/hookpitch/core/resp.py
+++ b/hookpitch/core/resp.py
@@ -86,7 +86,7 @@
     `MAX_BUFFERED_VALUE_BYTES` in a command, or over `MAX_BULK_BYTES` in a reply, is not collected:
     `body_remaining` is set to its length and an empty string takes its place in the array. The
     caller has to consume that many bytes: either it reads them from the ring with `read_body`, or
-    it takes them before they are written to the ring and lowers `body_remaining`.
+    it takes them with `take_body` before they are written to the ring.
     """
 
     __slots__ = (
@@ -144,6 +144,15 @@
         self.body_remaining -= len(data)
         return data
 
+    def take_body(self, data: bytes) -> tuple[bytes, bytes]:
+        """Split received bytes into the part that belongs to an oversized value, and the rest.
+
+        The ring has to be empty.
+        """
+        part = data if len(data) <= self.body_remaining else data[: self.body_remaining]
+        self.body_remaining -= len(part)
+        return part, data[len(part) :]
+
     def _read_short_array(self) -> list[Value] | None:
         """Read an array of bulk strings if it is short and complete; otherwise consume nothing."""
         data = self.ring.peek(MAX_SHORT_ARRAY_BYTES)
--- a/hookpitch/net/backend_connection.py
+++ b/hookpitch/net/backend_connection.py
@@ -256,10 +256,7 @@
         attempt = self.attempt
         has_begun = self._value_start is not None
         if has_begun and attempt is not None and not len(self.input_buffer) and not self.paused:
-            remaining = self.parser.body_remaining
-            part = data if len(data) <= remaining else data[:remaining]
-            self.parser.body_remaining -= len(part)
-            data = data[len(part) :]
+            part, data = self.parser.take_body(data)
             if part and not self._value_part_received(attempt, part):
                 return
             if not data:
--- a/hookpitch/net/buffered_protocol.py
+++ b/hookpitch/net/buffered_protocol.py
@@ -10,8 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from socket import IPPROTO_TCP, MSG_PEEK, SHUT_WR, TCP_INFO
-from struct import unpack_from
+from socket import MSG_PEEK, SHUT_WR
 from typing import Any
 
 from twisted.internet.error import ConnectionAborted, ConnectionDone
@@ -20,23 +19,10 @@
 from twisted.python.failure import Failure
 
 from hookpitch.core.ring import INITIAL_CAPACITY, Ring
+from hookpitch.net.tcp_info import TcpInfo, tcp_info_of
 
 WRITE_CHUNK_BYTES = 65536  # written to the socket at a time
 
-# Linux's struct tcp_info (linux/tcp.h). The first byte is the connection's state.
-TCP_INFO_BYTES = 148
-UNACKNOWLEDGED_OFFSET = 24  # tcpi_unacked: segments that are sent and not acknowledged
-LAST_DATA_RECEIVED_OFFSET = 52  # tcpi_last_data_recv, in ms
-BYTES_ACKNOWLEDGED_OFFSET = 120  # tcpi_bytes_acked, of 64 bits
-NOT_SENT_OFFSET = 144  # tcpi_notsent_bytes: bytes that the peer has no room for yet
-FIN_UNACKNOWLEDGED_STATES = (4, 9, 11)  # FIN_WAIT1, LAST_ACK, CLOSING
-PEER_ENDED_STATES = (6, 7, 8, 9, 11)  # TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
-
-
-def _tcp_info_field(info: bytes, offset: int) -> int:
-    """Return a 32-bit field of `struct tcp_info`; 0 where the kernel does not fill it."""
-    return unpack_from("I", info, offset)[0] if len(info) >= offset + 4 else 0
-
 
 def allocated_bytes(buffer: Ring) -> int:
     """Return the memory of a buffer beyond the little that every connection is granted."""
@@ -98,35 +84,18 @@
 
     def unread_age_ms(self) -> float:
         """Return the milliseconds since the newest byte reached this machine; 0 where unknown."""
-        return float(_tcp_info_field(self._tcp_info(), LAST_DATA_RECEIVED_OFFSET))
-
-    def _tcp_info(self) -> bytes:
-        """Return the kernel's `struct tcp_info`; empty where there is none."""
-        socket = getattr(self.transport, "socket", None)
-        if socket is None:
-            return b""
-        try:
-            return socket.getsockopt(IPPROTO_TCP, TCP_INFO, TCP_INFO_BYTES)
-        except (OSError, ValueError):
-            return b""
+        info = tcp_info_of(self.transport)
+        return float(info.ms_since_receive) if info is not None else 0.0
 
     def has_undelivered_bytes(self) -> bool:
-        """Return whether the peer's kernel has not acknowledged all that was written to the socket.
-
-        The end of the stream counts as written once the sending side is shut down.
-        """
-        info = self._tcp_info()
-        return bool(
-            (info and info[0] in FIN_UNACKNOWLEDGED_STATES)
-            or _tcp_info_field(info, UNACKNOWLEDGED_OFFSET)
-            or _tcp_info_field(info, NOT_SENT_OFFSET)
-        )
+        """Return whether the peer's kernel has not acknowledged all that was written."""
+        info = tcp_info_of(self.transport)
+        return info is not None and info.has_undelivered
 
     def acknowledged_bytes(self) -> int:
         """Return how many bytes the peer's kernel has acknowledged so far; 0 where unknown."""
-        info = self._tcp_info()
-        offset = BYTES_ACKNOWLEDGED_OFFSET
-        return unpack_from("Q", info, offset)[0] if len(info) >= offset + 8 else 0
+        info = tcp_info_of(self.transport)
+        return info.acknowledged_bytes if info is not None else 0
 
     def peer_has_closed(self) -> bool:
         """Return whether the peer has closed its sending side or reset the connection.
@@ -137,8 +106,8 @@
         if socket is None:
             return False
         try:
-            state = socket.getsockopt(IPPROTO_TCP, TCP_INFO, TCP_INFO_BYTES)[0]
-            return state in PEER_ENDED_STATES if state else socket.recv(1, MSG_PEEK) == b""
+            info = TcpInfo(socket)
+            return info.peer_has_ended if info.state else socket.recv(1, MSG_PEEK) == b""
         except BlockingIOError:
             return False
         except OSError:
--- a/hookpitch/net/client_connection.py
+++ b/hookpitch/net/client_connection.py
@@ -31,6 +31,7 @@
     allocated_bytes,
 )
 from hookpitch.net.client_commands import run_command
+from hookpitch.net.client_streams import ClientStreams
 from hookpitch.net.graceful_close import GracefulClose
 from hookpitch.net.read_control import MAX_PENDING_WITHOUT_MEMORY, ReadControl
 
@@ -55,12 +56,10 @@
 
         self.pending_replies = ReplyQueue(self.host.reply_budget)
         self.rpcs: dict[ReplySlot, Rpc] = {}  # open RPCs
-        self.streams: dict[ReplySlot, Stream] = {}  # responses whose first bytes have arrived
-        self.current_stream: Stream | None = None  # the stream that is being sent
+        self.streams = ClientStreams(registry)
         self.value: IncomingValue | None = None  # the large value of a command, while it arrives
         self._input_memory = MemoryUse(self.host.memory)
         self._output_memory = MemoryUse(self.host.reply_budget)
-        self._has_stream_memory = False  # reserved for the streams of this connection
 
         self.is_closing = False  # nothing more is read, and no RPC is accepted
         self.is_lost = False  # the connection has closed
@@ -134,11 +133,8 @@
         if self.has_sent_command and self.parser.at_boundary:
             self.active_at = self.last_byte_at
         if self.parser.body_remaining and not len(self.input_buffer):
-            remaining = self.parser.body_remaining
-            part = data if len(data) <= remaining else data[:remaining]
-            self.parser.body_remaining -= len(part)
+            part, data = self.parser.take_body(data)
             self._store_value_bytes(part)
-            data = data[len(part) :]
             if not data:
                 return
         super().rawDataReceived(data)
@@ -253,12 +249,10 @@
     def reply(self, slot: ReplySlot, answer: bytes) -> None:
         """Set the final response to the RPC of a slot."""
         self.rpcs.pop(slot, None)
-        if self.streams.pop(slot, None) is None:
+        if self.streams.remove(slot) is None:
             self.set_answer(slot, answer)
         else:
             slot.answer = answer  # the rest of the stream
-            self.registry.active_streams -= 1
-            self.current_stream = None
             self.reading.update()
         if not self.is_lost:
             self._send_replies()
@@ -269,7 +263,7 @@
         while pending and (answers := pending.take_ready()):
             self.send(answers)
             self.registry.mark_active(self)
-        if self.streams and self.current_stream is None:
+        if self.streams and self.streams.current is None:
             stream = self.streams.get(pending.first)
             if stream is not None:
                 self._start_stream(stream)
@@ -285,9 +279,9 @@
         """Hold the memory of the replies that the client has not read."""
         if not self.write_pending and not self._output_memory.held:
             return
-        self._has_stream_memory = self._has_stream_memory and bool(self.streams)
+        self.streams.has_memory = self.streams.has_memory and bool(self.streams)
         count = allocated_bytes(self.output_buffer)
-        if self._has_stream_memory:
+        if self.streams.has_memory:
             count = max(count, MIN_STREAM_MEMORY_BYTES)
         if count != self._output_memory.held:
             if not self._output_memory.held:
@@ -298,25 +292,18 @@
 
     def reserve_stream_memory(self) -> bool:
         """Reserve memory for a streamed response; return False if there is none."""
-        if self._has_stream_memory:
-            return True
-        count = max(self._output_memory.held, MIN_STREAM_MEMORY_BYTES)
-        self._has_stream_memory = self._output_memory.try_set(count)
-        return self._has_stream_memory
+        if not self.streams.has_memory:
+            count = max(self._output_memory.held, MIN_STREAM_MEMORY_BYTES)
+            self.streams.has_memory = self._output_memory.try_set(count)
+        return self.streams.has_memory
 
     def has_commands_behind(self, slot: ReplySlot) -> bool:
         """Return whether a command, or a part of one, was read after the command of a slot."""
         return self.pending_replies.last is not slot or not self.parser.at_boundary
 
-    @property
-    def has_breakable_stream(self) -> bool:
-        """Whether a response is streamed that its backend may break off."""
-        return any(not stream.source.is_complete for stream in self.streams.values())
-
     def stream_started(self, slot: ReplySlot, stream: Stream) -> None:
         """Register a stream: the response to the RPC of a slot has begun to arrive in chunks."""
-        self.streams[slot] = stream
-        self.registry.active_streams += 1
+        self.streams.add(slot, stream)
         self.reading.update()
         if self.is_lost or self.pending_replies.first is not slot:
             stream.source.pause()  # replies to earlier commands are sent first
@@ -324,7 +311,7 @@
             self._start_stream(stream)
 
     def _start_stream(self, stream: Stream) -> None:
-        self.current_stream = stream
+        self.streams.current = stream
         self.send(b"$%d\r\n" % stream.length)
         stream.source.resume()
 
@@ -333,11 +320,7 @@
         self.send(data)
         self._account_output()
         self.reading.check_unread()
-        # Without the pause, a backend that is faster than the client would fill this buffer with
-        # the whole value.
-        buffered = len(self.output_buffer)
-        if buffered > self.registry.stream_buffer_bytes and self.current_stream is not None:
-            self.current_stream.source.pause()
+        self.streams.chunk_sent(len(self.output_buffer))
 
     def resume_writing(self) -> None:
         """Write more output, and resume a paused stream once enough of it has been read."""
@@ -347,22 +330,17 @@
         if len(self.output_buffer) >= unsent_bytes:
             return
         self.write_progress_at = self.clock.now()
-        if self.current_stream is not None:
-            self.current_stream.last_progress = self.clock.now()
-            if 2 * len(self.output_buffer) <= self.registry.stream_buffer_bytes:
-                self.current_stream.source.resume()
+        self.streams.client_progressed(self.clock.now(), len(self.output_buffer))
 
     def stream_aborted(self, slot: ReplySlot) -> None:
         """Fail a streamed response whose remaining chunks will not arrive."""
         self.rpcs.pop(slot, None)
-        stream = self.streams.pop(slot, None)
-        if stream is not None:
-            self.registry.active_streams -= 1
-        if self.current_stream is not stream:
+        is_current = self.streams.get(slot) is self.streams.current
+        self.streams.remove(slot)
+        if not is_current:
             self.set_answer(slot, FAILED_REPLY)  # no chunk of this stream was sent
         else:
             # No error can be sent: the client would read it as part of the value.
-            self.current_stream = None
             self.stop_reading()
             self.pending_replies.clear()
         self.reading.update()
@@ -387,7 +365,7 @@
 
     def read_now(self) -> None:
         """Read what is unread, unless it has to stay unread behind a streamed response."""
-        if not self.is_closing and not self.has_breakable_stream:
+        if not self.is_closing and not self.streams.may_break_off:
             super().read_now()
 
     def update_eviction_order(self) -> None:
@@ -508,8 +486,6 @@
         self.host.connections.free(self.number)
         self.registry.connection_lost(self)
         self.pending_replies.clear()
-        self.current_stream = None
-        self.registry.active_streams -= len(self.streams)
         self.streams.clear()
         self.host.client_disconnected(self.clock.now(), list(self.rpcs.values()), still_reads=False)
         self.rpcs.clear()
--- a/hookpitch/net/read_control.py
+++ b/hookpitch/net/read_control.py
@@ -173,7 +173,7 @@
         connection = self._connection
         if connection is None or connection.is_lost or connection.is_closing:
             return
-        is_behind_stream = connection.has_breakable_stream
+        is_behind_stream = connection.streams.may_break_off
         if is_behind_stream and self._unread_since is None:
             self._unread_since = connection.clock.now()
         is_paused = self.is_throttled or self.has_backlog or is_behind_stream
