--- a/hookpitch/net/buffered_protocol.py
+++ b/hookpitch/net/buffered_protocol.py
@@ -19,7 +19,7 @@
 from twisted.python.failure import Failure
 
 from hookpitch.core.ring import INITIAL_CAPACITY, Ring
-from hookpitch.net.tcp_info import TcpInfo, tcp_info_of
+from hookpitch.net.tcp_info import TcpInfo, ms_since_receive, tcp_info_of
 
 WRITE_CHUNK_BYTES = 65536  # written to the socket at a time
 
@@ -84,8 +84,7 @@
 
     def unread_age_ms(self) -> float:
         """Return the milliseconds since the newest byte reached this machine; 0 where unknown."""
-        info = tcp_info_of(self.transport)
-        return float(info.ms_since_receive) if info is not None else 0.0
+        return ms_since_receive(self.transport)
 
     def has_undelivered_bytes(self) -> bool:
         """Return whether the peer's kernel has not acknowledged all that was written."""
--- a/hookpitch/net/client_connection.py
+++ b/hookpitch/net/client_connection.py
@@ -105,7 +105,7 @@
     @property
     def is_delivering(self) -> bool:
         """Whether the client has not received a response completely that has begun."""
-        return bool(self.streams) or self.has_unsent_bytes or self.has_undelivered_bytes()
+        return bool(self.streams.by_slot) or self.has_unsent_bytes or self.has_undelivered_bytes()
 
     def check_delivery(self) -> None:
         """Record progress if the client's kernel has taken something since the last check."""
@@ -263,7 +263,7 @@
         while pending and (answers := pending.take_ready()):
             self.send(answers)
             self.registry.mark_active(self)
-        if self.streams and self.streams.current is None:
+        if self.streams.by_slot and self.streams.current is None:
             stream = self.streams.get(pending.first)
             if stream is not None:
                 self._start_stream(stream)
@@ -279,7 +279,7 @@
         """Hold the memory of the replies that the client has not read."""
         if not self.write_pending and not self._output_memory.held:
             return
-        self.streams.has_memory = self.streams.has_memory and bool(self.streams)
+        self.streams.has_memory = self.streams.has_memory and bool(self.streams.by_slot)
         count = allocated_bytes(self.output_buffer)
         if self.streams.has_memory:
             count = max(count, MIN_STREAM_MEMORY_BYTES)
@@ -428,9 +428,9 @@
         # rest of the command before it closes the connection.
         if self.is_lost:
             return
-        is_answered = not self.pending_replies and not self.has_commands_left
-        if self.is_closing and is_answered and not len(self.output_buffer):
-            self.finish()
+        if self.is_closing:
+            if not (self.pending_replies or self.has_commands_left or len(self.output_buffer)):
+                self.finish()
         elif (
             self.registry.is_draining
             and self.is_idle
--- a/hookpitch/net/client_streams.py
+++ b/hookpitch/net/client_streams.py
@@ -19,34 +19,31 @@
 class ClientStreams:
     """Streams by the slot of their command's reply."""
 
-    __slots__ = ("_open", "_registry", "current", "has_memory")
+    __slots__ = ("_registry", "by_slot", "current", "has_memory")
 
     def __init__(self, registry: ClientRegistry) -> None:
         self._registry = registry
-        self._open: dict[ReplySlot, Stream] = {}  # responses whose first bytes have arrived
+        self.by_slot: dict[ReplySlot, Stream] = {}  # responses whose first bytes have arrived
         self.current: Stream | None = None  # the one that is being sent
         self.has_memory = False  # reserved for the streams of this connection
 
-    def __bool__(self) -> bool:
-        return bool(self._open)
-
     @property
     def may_break_off(self) -> bool:
         """Whether a backend may break off one of the streams."""
-        return any(not stream.source.is_complete for stream in self._open.values())
+        return any(not stream.source.is_complete for stream in self.by_slot.values())
 
     def add(self, slot: ReplySlot, stream: Stream) -> None:
         """Add a stream; its source has to be paused until its turn comes."""
-        self._open[slot] = stream
+        self.by_slot[slot] = stream
         self._registry.active_streams += 1
 
     def get(self, slot: ReplySlot | None) -> Stream | None:
         """Return the stream of a slot, if there is one."""
-        return self._open.get(slot)
+        return self.by_slot.get(slot)
 
     def remove(self, slot: ReplySlot) -> Stream | None:
         """Remove the stream of a slot and return it; None if there is none."""
-        stream = self._open.pop(slot, None)
+        stream = self.by_slot.pop(slot, None)
         if stream is not None:
             self._registry.active_streams -= 1
             if stream is self.current:
@@ -55,8 +52,8 @@
 
     def clear(self) -> None:
         """Remove all streams, as the connection has ended."""
-        self._registry.active_streams -= len(self._open)
-        self._open.clear()
+        self._registry.active_streams -= len(self.by_slot)
+        self.by_slot.clear()
         self.current = None
 
     # ---- the pauses of the current stream
